Workspace of packages with formatter, linter and the interfaces between parts

Change: the Maven modules, the checks, the protobuf messages with their committed classes, clock, names, errors, events, document model, membership and routing types, the log, list and weight store interfaces, settings loading.

Before and after: no build; mvn verify passes with the core's first tests and the rule that core has no I/O.

Conclusion: a base to build on; no process runs yet.

--- /dev/null
+++ b/core/src/main/java/org/jasminehub/core/document/DocumentYamlAdapter.java
@@ -0,0 +1,34 @@
+package org.jasminehub.core.document;
+
+import org.jasminehub.core.error.DocumentException;
+import org.jasminehub.core.yaml.StrictYamlReader;
+import org.jasminehub.core.yaml.YamlException;
+import org.jasminehub.core.yaml.YamlFailure;
+
+/**
+ * Reads a team's document from YAML.
+ *
+ * <pre>{@code
+ * TeamDocument document = new DocumentYamlAdapter().read(Files.readString(path));
+ * }</pre>
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class DocumentYamlAdapter {
+    private final StrictYamlReader reader = new StrictYamlReader();
+
+    /**
+     * Returns the document that {@code text} describes.
+     *
+     * @throws DocumentException if the text does not pass the schema
+     */
+    public TeamDocument read(String text) {
+        try {
+            return reader.read(text, TeamDocument.class);
+        } catch (YamlException e) {
+            YamlFailure failure = e.failure();
+            throw new DocumentException(
+                    "line " + failure.line() + ", " + failure.place(), failure.found(), failure.expected());
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/jasminehub/core/identity/EndpointId.java
@@ -0,0 +1,21 @@
+package org.jasminehub.core.identity;
+
+import org.jasminehub.core.internal.Checks;
+
+/** The name of an endpoint: a model server or a plain service instance behind its agent. */
+public record EndpointId(String value) implements Comparable<EndpointId> {
+    /** Creates a name; it must not be blank. */
+    public EndpointId {
+        Checks.notBlank("endpoint", value);
+    }
+
+    @Override
+    public int compareTo(EndpointId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/jasminehub/core/identity/WorkspaceId.java
@@ -0,0 +1,21 @@
+package org.jasminehub.core.identity;
+
+import org.jasminehub.core.internal.Checks;
+
+/** The name of a workspace, on whose behalf callers send requests. */
+public record WorkspaceId(String value) implements Comparable<WorkspaceId> {
+    /** Creates a name; it must not be blank. */
+    public WorkspaceId {
+        Checks.notBlank("workspace", value);
+    }
+
+    @Override
+    public int compareTo(WorkspaceId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/jasminehub/core/yaml/package-info.java
@@ -0,0 +1,5 @@
+/** Strict reading of YAML into records. */
+@NullMarked
+package org.jasminehub.core.yaml;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/test/java/org/jasminehub/core/yaml/StrictYamlReaderTest.java
@@ -0,0 +1,70 @@
+package org.jasminehub.core.yaml;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class StrictYamlReaderTest {
+    private final StrictYamlReader reader = new StrictYamlReader();
+
+    record Sample(String name, int timeoutMillis) {}
+
+    private YamlFailure failureOf(String text) {
+        return assertThrows(YamlException.class, () -> reader.read(text, Sample.class))
+                .failure();
+    }
+
+    @Nested
+    final class Accepts {
+        @Test
+        void testCompleteMappingGivesRecord() {
+            assertEquals(new Sample("a", 5), reader.read("name: a\ntimeoutMillis: 5\n", Sample.class));
+        }
+    }
+
+    @Nested
+    final class Refuses {
+        @Test
+        void testUnknownKeyIsNamedWithItsLine() {
+            YamlFailure failure = failureOf("name: a\ntimeoutMillis: 5\ntimeout: 5\n");
+            assertEquals("timeout", failure.place());
+            assertEquals(3, failure.line());
+        }
+
+        @Test
+        void testMissingKeyIsNamed() {
+            assertEquals("timeoutMillis", failureOf("name: a\n").place());
+        }
+
+        @Test
+        void testRepeatedKeyIsRefused() {
+            assertEquals(
+                    "valid YAML",
+                    failureOf("name: a\nname: b\ntimeoutMillis: 5\n").expected());
+        }
+
+        @Test
+        void testTextInPlaceOfNumberIsRefused() {
+            assertEquals(
+                    "timeoutMillis", failureOf("name: a\ntimeoutMillis: 5s\n").place());
+        }
+
+        @Test
+        void testFractionInPlaceOfWholeNumberIsRefused() {
+            assertEquals(
+                    "timeoutMillis", failureOf("name: a\ntimeoutMillis: 5.5\n").place());
+        }
+
+        @Test
+        void testEmptyTextIsRefused() {
+            assertThrows(YamlException.class, () -> reader.read("", Sample.class));
+        }
+
+        @Test
+        void testNullValueIsRefused() {
+            assertEquals("name", failureOf("name:\ntimeoutMillis: 5\n").place());
+        }
+    }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/jasminehub/runtime/log/EventLog.java
@@ -0,0 +1,75 @@
+package org.jasminehub.runtime.log;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.flogger.FluentLogger;
+import java.util.logging.Level;
+import org.jasminehub.core.event.Event;
+import org.jasminehub.core.event.EventKind;
+import org.jasminehub.core.event.EventSink;
+import org.jasminehub.core.event.Severity;
+
+/**
+ * Writes events to the log, one JSON object a line: {@code event} (the number), {@code name}, the process's
+ * {@code instance}, and the fields of the event.
+ *
+ * <pre>{@code
+ * EventSink events = new EventLog("entry-1");
+ * events.emit(new EndpointChosen(...));
+ * }</pre>
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class EventLog implements EventSink {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+    private final ObjectMapper mapper = new ObjectMapper();
+    private final String instance;
+
+    /** Creates a log whose lines name {@code instance}. */
+    public EventLog(String instance) {
+        this.instance = instance;
+    }
+
+    @Override
+    public void emit(Event event) {
+        Level level = levelOf(event.kind().severity());
+        logger.at(level).log("%s", new Line(event));
+    }
+
+    private static Level levelOf(Severity severity) {
+        return switch (severity) {
+            case DETAIL -> Level.FINE;
+            case INFO -> Level.INFO;
+            case WARNING -> Level.WARNING;
+            case ERROR -> Level.SEVERE;
+        };
+    }
+
+    /** Renders an event only where its level is enabled. */
+    private final class Line {
+        private final Event event;
+
+        Line(Event event) {
+            this.event = event;
+        }
+
+        @Override
+        public String toString() {
+            EventKind kind = event.kind();
+            ObjectNode line = mapper.createObjectNode();
+            line.put("event", kind.number());
+            line.put("name", kind.name());
+            line.put("instance", instance);
+            ObjectNode fields = mapper.valueToTree(event);
+            line.setAll(fields);
+            line.remove("kind");
+            try {
+                return mapper.writeValueAsString(line);
+            } catch (JsonProcessingException e) {
+                return "{\"event\":" + kind.number() + ",\"name\":\"" + kind.name() + "\"}";
+            }
+        }
+    }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/jasminehub/runtime/log/package-info.java
@@ -0,0 +1,5 @@
+/** The event log: numbered events as JSON lines. */
+@NullMarked
+package org.jasminehub.runtime.log;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/runtime/src/main/java/org/jasminehub/runtime/settings/SettingsLoader.java
@@ -0,0 +1,38 @@
+package org.jasminehub.runtime.settings;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.jasminehub.core.yaml.StrictYamlReader;
+import org.jasminehub.core.yaml.YamlException;
+import org.jasminehub.core.yaml.YamlFailure;
+
+/**
+ * Reads settings files into records.
+ *
+ * <pre>{@code
+ * EntrySettings settings = new SettingsLoader().load(path, EntrySettings.class);
+ * }</pre>
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class SettingsLoader {
+    private final StrictYamlReader reader = new StrictYamlReader();
+
+    /**
+     * Returns the settings in {@code file}.
+     *
+     * @throws SettingsException if the file cannot be read or has an unknown, missing or invalid key
+     */
+    public <T> T load(Path file, Class<T> type) {
+        try {
+            return reader.read(Files.readString(file), type);
+        } catch (IOException e) {
+            throw new SettingsException(file.toString(), "(file)", "no readable file", "a YAML file");
+        } catch (YamlException e) {
+            YamlFailure failure = e.failure();
+            String place = "line " + failure.line() + ", " + failure.place();
+            throw new SettingsException(file.toString(), place, failure.found(), failure.expected());
+        }
+    }
+}
--- /dev/null
+++ b/runtime/src/main/java/org/jasminehub/runtime/settings/package-info.java
@@ -0,0 +1,5 @@
+/** Checked reading of settings files. */
+@NullMarked
+package org.jasminehub.runtime.settings;
+
+import org.jspecify.annotations.NullMarked;
