--- /dev/null
+++ b/core/src/main/java/org/jasminehub/core/lease/ShardPolicy.java
@@ -0,0 +1,41 @@
+package org.jasminehub.core.lease;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.jasminehub.core.internal.Checks;
+
+/**
+ * Assigns groups of ranks to a fixed number of shards, so that the log carries renewals per shard and not per group.
+ *
+ * <pre>{@code
+ * ShardId shard = new ShardPolicy(16).shardOf("group-17");
+ * }</pre>
+ *
+ * <p>Immutable. All processes must use the same number.
+ */
+public final class ShardPolicy {
+    private final int shardCount;
+
+    /** Creates a policy for {@code shardCount} shards, at least 1. */
+    public ShardPolicy(int shardCount) {
+        this.shardCount = (int) Checks.positive("shardCount", shardCount);
+    }
+
+    /** Returns the shard that controls {@code group}. */
+    public ShardId shardOf(String group) {
+        long hash =
+                Hashing.murmur3_128().hashString(group, StandardCharsets.UTF_8).asLong();
+        return shard((int) Math.floorMod(hash, (long) shardCount));
+    }
+
+    /** Returns all shards. */
+    public List<ShardId> shards() {
+        return IntStream.range(0, shardCount).mapToObj(ShardPolicy::shard).toList();
+    }
+
+    private static ShardId shard(int number) {
+        return new ShardId("shard-" + number);
+    }
+}
