--- a/core/src/main/java/org/jasminehub/core/lease/LeaseCandidate.java
+++ b/core/src/main/java/org/jasminehub/core/lease/LeaseCandidate.java
@@ -54,7 +54,8 @@
     /** Returns the record to append now, if any; its time counts from this call. */
     Optional<LeaseRecord> nextAppend(LeaseState state, long readToOffset, int rank, long nowMillis) {
         forgetAppendsWithoutUse(nowMillis);
-        if (isReleased || !startMillisByNonce.isEmpty() && nowMillis < newestStartMillis() + terms.resendMillis()) {
+        boolean isUnderway = !startMillisByNonce.isEmpty() && nowMillis < newestStartMillis() + terms.resendMillis();
+        if (isReleased || isUnderway) {
             return Optional.empty();
         }
         if (state.isHeldBy(self, incarnation)) {
--- /dev/null
+++ b/core/src/main/java/org/jasminehub/core/membership/MemberChanged.java
@@ -0,0 +1,13 @@
+package org.jasminehub.core.membership;
+
+import org.jasminehub.core.event.Event;
+import org.jasminehub.core.event.EventKind;
+
+/** A change of one member; {@code incarnation} is 0 where none is known. */
+public record MemberChanged(MembershipEventKind change, String instance, long incarnation, MembershipSource source)
+        implements Event {
+    @Override
+    public EventKind kind() {
+        return change;
+    }
+}
