Bench of what members, documents, messages and records cost

Cause: docs/CAPACITY.md has to be worked out from measured slopes. Change: CapacityBench prints heap for each item (difference of 1,000 and 9,000 of them after collections), processor time of the thread for each step after as long a warm-up, encoded bytes, and by how many entry instances each endpoint is watched.

--- /dev/null
+++ b/bench/src/main/java/org/jasminehub/bench/capacity/CpuSlopes.java
@@ -0,0 +1,138 @@
+package org.jasminehub.bench.capacity;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.IntConsumer;
+import java.util.stream.Collectors;
+import org.jasminehub.core.address.EndpointSubsetPolicy;
+import org.jasminehub.core.document.DocumentYamlAdapter;
+import org.jasminehub.core.identity.InstanceId;
+import org.jasminehub.core.lease.LeaseAction;
+import org.jasminehub.core.lease.LeaseRecord;
+import org.jasminehub.core.lease.LeaseRecordCodec;
+import org.jasminehub.core.lease.LeaseTable;
+import org.jasminehub.core.lease.OrderGate;
+import org.jasminehub.core.lease.ShardId;
+import org.jasminehub.core.membership.HeartbeatRing;
+import org.jasminehub.core.membership.Member;
+import org.jasminehub.core.membership.MemberFact;
+import org.jasminehub.core.membership.MemberState;
+import org.jasminehub.core.membership.MembershipSettings;
+import org.jasminehub.core.membership.MembershipView;
+import org.jasminehub.wire.generated.Envelope;
+import org.jasminehub.wire.generated.Hello;
+import org.jasminehub.wire.generated.OrderRequest;
+
+/** Processor time of this thread for each repeat of a step. */
+final class CpuSlopes {
+    private static final int SMALL_REPEATS = 200_000;
+    private static final int LARGE_REPEATS = 40;
+    private static final double NANOS_PER_MICRO = 1_000;
+    private static final ShardId SHARD = new ShardId("shard-7");
+    private static final InstanceId SELF = new InstanceId("entry-instance-1");
+    private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+
+    private CpuSlopes() {}
+
+    static List<Slope> measure() {
+        List<Slope> slopes = new ArrayList<>();
+        slopes.add(heartbeat());
+        slopes.add(listRefresh());
+        slopes.add(subsets());
+        slopes.add(ring());
+        slopes.add(leaseRecord());
+        slopes.add(documentRecord());
+        slopes.add(order());
+        return slopes;
+    }
+
+    private static Slope slope(String what, int repeats, IntConsumer step) {
+        run(repeats, step);
+        long startNanos = THREADS.getCurrentThreadCpuTime();
+        run(repeats, step);
+        long nanos = THREADS.getCurrentThreadCpuTime() - startNanos;
+        return new Slope(what, nanos / NANOS_PER_MICRO / repeats, "microseconds");
+    }
+
+    private static void run(int repeats, IntConsumer step) {
+        for (int i = 0; i < repeats; i++) {
+            step.accept(i);
+        }
+    }
+
+    private static Slope heartbeat() {
+        MembershipView view = new MembershipView(MembershipSettings.STANDARD, event -> {});
+        List<Member> entries = Fleet.entries(8);
+        view.listRead(entries, 0);
+        view.watch(entries.stream().map(Member::id).collect(Collectors.toSet()), 0);
+        Hello hello = MessageSizes.hello();
+        return slope("CPU for each heartbeat (encode, decode, take)", SMALL_REPEATS, i -> {
+            Hello read = parse(Envelope.newBuilder().setHello(hello).build().toByteArray())
+                    .getHello();
+            InstanceId id = new InstanceId(read.getInstance());
+            view.linkHeard(new MemberFact(id, read.getIncarnation(), MemberState.LIVE), i);
+        });
+    }
+
+    private static Slope listRefresh() {
+        MembershipView view = new MembershipView(MembershipSettings.STANDARD, event -> {});
+        List<Member> all = Fleet.all();
+        return slope("CPU for each refresh of a list of 8,100 (parsed)", LARGE_REPEATS, i -> view.listRead(all, i));
+    }
+
+    private static Slope subsets() {
+        EndpointSubsetPolicy policy = new EndpointSubsetPolicy(SubsetBalance.COUNT, SubsetBalance.FAR_COUNT);
+        List<Member> agents = Fleet.agents(Fleet.AGENTS);
+        return slope(
+                "CPU for each choice of endpoints among 5,800",
+                LARGE_REPEATS,
+                i -> policy.choose(new InstanceId("entry-" + i), agents, SubsetBalance.DISTANCE));
+    }
+
+    private static Slope ring() {
+        List<InstanceId> ids =
+                Fleet.entries(Fleet.ENTRIES).stream().map(Member::id).toList();
+        HeartbeatRing ring = new HeartbeatRing(8);
+        return slope("CPU for each choice of peers among 2,300", LARGE_REPEATS, i -> ring.watchedBy(ids.get(i), ids));
+    }
+
+    private static Slope leaseRecord() {
+        LeaseRecordCodec codec = new LeaseRecordCodec();
+        LeaseTable table = new LeaseTable(0);
+        return slope("CPU for each lease record (decode, apply)", SMALL_REPEATS, i -> {
+            byte[] payload = codec.encode(new LeaseRecord(LeaseAction.RENEW, SHARD, SELF, 1, 1, i, i));
+            codec.decode(payload).ifPresent(leaseRecord -> table.apply(table.nextOffset(), leaseRecord));
+        });
+    }
+
+    private static Slope documentRecord() {
+        DocumentYamlAdapter adapter = new DocumentYamlAdapter();
+        List<String> texts = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            texts.add(SampleDocument.yaml(i));
+        }
+        return slope("CPU for each document of 10 workspaces (parse)", 2_000, i -> adapter.read(texts.get(i % 100)));
+    }
+
+    private static Slope order() {
+        OrderGate gate = new OrderGate(1, event -> {});
+        gate.learn(SHARD, 0);
+        OrderRequest request = MessageSizes.order();
+        return slope("CPU for each order (encode, decode, admit)", SMALL_REPEATS, i -> {
+            Envelope envelope = parse(MessageSizes.control(request).toByteArray());
+            OrderRequest read = envelope.getControlRequest().getOrder();
+            gate.admit(new ShardId(read.getShard()), read.getFencingNumber(), 1);
+        });
+    }
+
+    private static Envelope parse(byte[] bytes) {
+        try {
+            return Envelope.parseFrom(bytes);
+        } catch (InvalidProtocolBufferException e) {
+            throw new BenchException(e);
+        }
+    }
+}
--- a/core/src/main/java/org/jasminehub/core/lease/LeaseRecord.java
+++ b/core/src/main/java/org/jasminehub/core/lease/LeaseRecord.java
@@ -1,6 +1,5 @@
 package org.jasminehub.core.lease;
 
-import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
 import org.jasminehub.core.identity.InstanceId;
 import org.jasminehub.core.internal.Checks;
 
@@ -15,7 +14,6 @@
  * @param readToOffset the offset up to which the writer had read the log, exclusive
  * @param nonce unique among the writer's records, by which it finds this record again
  */
-@JsonIgnoreProperties(ignoreUnknown = true)
 public record LeaseRecord(
         LeaseAction action,
         ShardId shard,
