Thin whole path: a request from its caller through entry instance and agent to the engine

Cause: no process ran. The whole path comes first, so that each part is proved where it is used.

Ruled out: gRPC or HTTP between own processes (Netty with protobuf is the house style, and credit per call maps onto stream demand); relaying service answers as they come (a cut would reach the caller as half an answer), so all but streams are collected first.

Routing is round robin, documents are the newest record of the log, keys are required but not yet kept: the parts that follow.

--- a/core/src/main/java/org/jasminehub/core/error/ErrorCode.java
+++ b/core/src/main/java/org/jasminehub/core/error/ErrorCode.java
@@ -82,6 +82,16 @@
         return code;
     }
 
+    /** Returns the code that callers see as {@code code}, or {@link #INTERNAL} where this program knows none. */
+    public static ErrorCode of(String code) {
+        for (ErrorCode known : values()) {
+            if (known.code.equals(code)) {
+                return known;
+            }
+        }
+        return INTERNAL;
+    }
+
     /** Returns the HTTP status that carries this code to a caller. */
     public int httpStatus() {
         return httpStatus;
--- a/core/src/main/java/org/jasminehub/core/error/JasminehubException.java
+++ b/core/src/main/java/org/jasminehub/core/error/JasminehubException.java
@@ -14,6 +14,15 @@
         this.code = code;
     }
 
+    /**
+     * Creates a failure whose place in the program says nothing, because it is an answer of every day: it carries no
+     * stack trace and costs little.
+     */
+    protected JasminehubException(ErrorCode code, String message, @Nullable Throwable cause, boolean hasStackTrace) {
+        super(message, cause, false, hasStackTrace);
+        this.code = code;
+    }
+
     /** Returns the stable code. */
     public final ErrorCode code() {
         return code;
--- a/core/src/main/java/org/jasminehub/core/error/Outcome.java
+++ b/core/src/main/java/org/jasminehub/core/error/Outcome.java
@@ -15,6 +15,16 @@
         this.label = label;
     }
 
+    /** Returns the outcome that callers see as {@code label}, or {@link #UNKNOWN} for any other word. */
+    public static Outcome of(String label) {
+        for (Outcome known : values()) {
+            if (known.label.equals(label)) {
+                return known;
+            }
+        }
+        return UNKNOWN;
+    }
+
     /** Returns the word that callers see. */
     public String label() {
         return label;
--- a/core/src/main/java/org/jasminehub/core/error/RequestException.java
+++ b/core/src/main/java/org/jasminehub/core/error/RequestException.java
@@ -32,7 +32,7 @@
     /** Creates a failure with the failure that led to it; {@code cause} may be null. */
     public RequestException(
             ErrorCode code, Outcome outcome, long retryAfterMillis, String message, @Nullable Throwable cause) {
-        super(code, message, cause);
+        super(code, message, cause, false);
         this.outcome = outcome;
         this.retryAfterMillis = retryAfterMillis;
     }
--- /dev/null
+++ b/entry/src/main/java/org/jasminehub/entry/EntryInstance.java
@@ -0,0 +1,141 @@
+package org.jasminehub.entry;
+
+import java.util.List;
+import java.util.function.Supplier;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.jasminehub.core.address.AddressPolicy;
+import org.jasminehub.core.event.EventSink;
+import org.jasminehub.core.identity.FailureDomain;
+import org.jasminehub.core.identity.RequestId;
+import org.jasminehub.core.routing.RoundRobinPolicy;
+import org.jasminehub.core.time.Clock;
+import org.jasminehub.entry.control.ControlState;
+import org.jasminehub.entry.control.ControlThread;
+import org.jasminehub.entry.control.DocumentController;
+import org.jasminehub.entry.control.MembershipController;
+import org.jasminehub.entry.endpoint.EndpointDirectory;
+import org.jasminehub.entry.filter.RequestFilter;
+import org.jasminehub.entry.filter.RequestHandler;
+import org.jasminehub.entry.http.CallerServer;
+import org.jasminehub.entry.http.CallerServerFactory;
+import org.jasminehub.entry.relay.RelayHandler;
+import org.jasminehub.platform.list.HttpInstanceListService;
+import org.jasminehub.platform.log.HttpLogService;
+import org.jasminehub.wire.ControlRouter;
+import org.jasminehub.wire.WireGroup;
+import org.jasminehub.wire.WireProtocol;
+import org.jasminehub.wire.WireServer;
+import org.jasminehub.wire.generated.AnswerRefused;
+import org.jasminehub.wire.generated.Hello;
+
+/**
+ * One entry instance: takes callers' requests and sends them to endpoints through their agents.
+ *
+ * <pre>{@code
+ * try (EntryInstance entry = new EntryInstance(settings, system, group, ids, clock, events)) {
+ *     int port = entry.callerPort();
+ * }
+ * }</pre>
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class EntryInstance implements AutoCloseable {
+    private static final int ADDRESSES_PER_WORKSPACE = 3;
+    private static final int PLATFORM_TIMEOUT_MILLIS = 3_000;
+    private static final long LOG_RETRY_INTERVAL_MILLIS = 250;
+
+    private final EntrySettings settings;
+    private final long incarnation;
+    private final ControlThread control = new ControlThread();
+    private final EndpointDirectory directory;
+    private final WireServer wireServer;
+    private final CallerServer callerServer;
+
+    /** Starts an entry instance; {@code ids} names each request, its incarnation is the clock's wall time. */
+    public EntryInstance(
+            EntrySettings settings,
+            ActorSystem<?> system,
+            WireGroup group,
+            Supplier<RequestId> ids,
+            Clock clock,
+            EventSink events) {
+        this.settings = settings;
+        this.incarnation = clock.wallMillis();
+        this.directory = new EndpointDirectory(group, this::hello, clock);
+        this.wireServer = WireServer.start(
+                group,
+                settings.host(),
+                settings.wirePort(),
+                this::hello,
+                call -> call.refuse(AnswerRefused.newBuilder().setCode("protocol-violation")),
+                new ControlRouter(),
+                events);
+        RelayHandler relay = new RelayHandler(
+                system, new FailureDomain(settings.failureDomain()), directory, new RoundRobinPolicy(), clock, events);
+        RequestHandler chain = RequestFilter.chain(List.of(), relay);
+        this.callerServer = new CallerServerFactory(
+                        system,
+                        settings,
+                        new AddressPolicy(ADDRESSES_PER_WORKSPACE),
+                        control::state,
+                        ids,
+                        clock,
+                        events)
+                .start(chain);
+        startControllers(system);
+    }
+
+    /** Returns the port that callers connect to. */
+    public int callerPort() {
+        return callerServer.port();
+    }
+
+    /** Returns the port that other processes of the system connect to. */
+    public int wirePort() {
+        return wireServer.port();
+    }
+
+    /** Returns what it knows now. */
+    public ControlState state() {
+        return control.state();
+    }
+
+    /** Returns whether it has learnt documents and instances and can serve. */
+    public boolean isReady() {
+        return state().isCurrent() && !state().members().isEmpty();
+    }
+
+    /** Returns its connections to agents. */
+    public EndpointDirectory directory() {
+        return directory;
+    }
+
+    /** Stops at once; requests that run are cut. */
+    @Override
+    public void close() {
+        control.close();
+        callerServer.close();
+        wireServer.close();
+        directory.close();
+    }
+
+    private void startControllers(ActorSystem<?> system) {
+        MembershipController membership = new MembershipController(
+                control,
+                new HttpInstanceListService(system, settings.instanceList(), PLATFORM_TIMEOUT_MILLIS),
+                directory::update);
+        DocumentController documents =
+                new DocumentController(control, new HttpLogService(system, settings.log(), PLATFORM_TIMEOUT_MILLIS));
+        control.repeat(membership::refresh, settings.listIntervalMillis());
+        control.repeat(documents::refresh, LOG_RETRY_INTERVAL_MILLIS);
+    }
+
+    private Hello hello() {
+        return Hello.newBuilder()
+                .setProtocolVersion(WireProtocol.VERSION)
+                .setInstance(settings.instance())
+                .setIncarnation(incarnation)
+                .setFailureDomain(settings.failureDomain())
+                .build();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/jasminehub/entry/endpoint/EndpointDirectory.java
@@ -0,0 +1,89 @@
+package org.jasminehub.entry.endpoint;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+import org.jasminehub.core.identity.EndpointId;
+import org.jasminehub.core.membership.Member;
+import org.jasminehub.core.membership.MemberRole;
+import org.jasminehub.core.membership.Target;
+import org.jasminehub.core.time.Clock;
+import org.jasminehub.wire.WireGroup;
+import org.jasminehub.wire.generated.Hello;
+
+/**
+ * The connections of this instance to agents.
+ *
+ * <p>{@link #update} is called on the control thread; the other methods are safe for use by several threads.
+ */
+public final class EndpointDirectory implements AutoCloseable {
+    private final WireGroup group;
+    private final Supplier<Hello> hello;
+    private final Clock clock;
+    private final Map<EndpointId, EndpointLink> links = new ConcurrentHashMap<>();
+
+    /** Creates a directory without connections; {@code hello} says who this process is. */
+    public EndpointDirectory(WireGroup group, Supplier<Hello> hello, Clock clock) {
+        this.group = group;
+        this.hello = hello;
+        this.clock = clock;
+    }
+
+    /** Opens connections to agents that are new in {@code members} and closes those of agents that are gone. */
+    public void update(List<Member> members) {
+        Map<EndpointId, Member> agents = new HashMap<>();
+        for (Member member : members) {
+            if (member.role() == MemberRole.AGENT) {
+                agents.put(new EndpointId(member.id().value()), member);
+            }
+        }
+        agents.forEach((id, member) -> linkOf(id, member).update(member));
+        for (EndpointId id : List.copyOf(links.keySet())) {
+            if (!agents.containsKey(id)) {
+                links.remove(id).close();
+            }
+        }
+    }
+
+    /** Returns the connections over which new work for {@code target} may be sent. */
+    public List<EndpointLink> usable(Target target) {
+        List<EndpointLink> usable = new ArrayList<>();
+        for (EndpointLink link : links.values()) {
+            if (link.isUsable() && link.member().serves().contains(target)) {
+                usable.add(link);
+            }
+        }
+        return usable;
+    }
+
+    /** Returns the connection to {@code id}, if there is one. */
+    public Optional<EndpointLink> link(EndpointId id) {
+        return Optional.ofNullable(links.get(id));
+    }
+
+    @Override
+    public void close() {
+        links.values().forEach(EndpointLink::close);
+    }
+
+    private EndpointLink linkOf(EndpointId id, Member member) {
+        EndpointLink known = links.get(id);
+        if (known != null && hasSameAddress(known.member(), member)) {
+            return known;
+        }
+        EndpointLink link = new EndpointLink(member, group, hello, clock);
+        EndpointLink replaced = links.put(id, link);
+        if (replaced != null) {
+            replaced.close();
+        }
+        return link;
+    }
+
+    private static boolean hasSameAddress(Member one, Member other) {
+        return one.host().equals(other.host()) && one.wirePort() == other.wirePort();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/jasminehub/entry/endpoint/EndpointLink.java
@@ -0,0 +1,124 @@
+package org.jasminehub.entry.endpoint;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import org.jasminehub.core.identity.EndpointId;
+import org.jasminehub.core.membership.Member;
+import org.jasminehub.core.routing.EndpointState;
+import org.jasminehub.core.routing.LoadReport;
+import org.jasminehub.core.time.Clock;
+import org.jasminehub.wire.AnswerListener;
+import org.jasminehub.wire.OutgoingCall;
+import org.jasminehub.wire.PeerListener;
+import org.jasminehub.wire.WireClient;
+import org.jasminehub.wire.WireGroup;
+import org.jasminehub.wire.generated.CallStart;
+import org.jasminehub.wire.generated.EndpointLoad;
+import org.jasminehub.wire.generated.Hello;
+
+/** The connection to one agent and what it last reported. Safe for use by several threads. */
+public final class EndpointLink implements AutoCloseable {
+    private final EndpointId id;
+    private final Clock clock;
+    private final WireClient client;
+    private final AtomicInteger outstanding = new AtomicInteger();
+    private final AtomicLong sentSinceTokens = new AtomicLong();
+    private volatile Member member;
+    private volatile LoadReport load = LoadReport.unknown();
+    private volatile long reportedAtMillis;
+    private volatile Hello peer = Hello.getDefaultInstance();
+    private volatile boolean connected;
+
+    EndpointLink(Member member, WireGroup group, Supplier<Hello> hello, Clock clock) {
+        this.id = new EndpointId(member.id().value());
+        this.member = member;
+        this.clock = clock;
+        this.client = new WireClient(group, member.host(), member.wirePort(), hello, new Listener());
+    }
+
+    /** Returns the endpoint's name, which is that of its agent's instance. */
+    public EndpointId id() {
+        return id;
+    }
+
+    /** Returns the agent as the list last showed it. */
+    public Member member() {
+        return member;
+    }
+
+    /** Returns what the agent last said of itself; the default message before it said anything. */
+    public Hello peer() {
+        return peer;
+    }
+
+    /** Returns whether new work may be sent: connected, and leaving neither by the list nor by its own word. */
+    public boolean isUsable() {
+        return connected && member.isLive() && !peer.getLeaving();
+    }
+
+    /** Returns what is known for a choice; {@code prefixHitTokens} is the caller's estimate. */
+    public EndpointState state(long prefixHitTokens) {
+        return new EndpointState(
+                id,
+                member.failureDomain(),
+                load,
+                Math.max(0, clock.monotonicMillis() - reportedAtMillis),
+                sentSinceTokens.get(),
+                outstanding.get(),
+                prefixHitTokens);
+    }
+
+    /** Starts a call that is expected to cost {@code tokens}; the caller must call {@link #callEnded} once. */
+    public OutgoingCall call(CallStart.Builder start, long tokens, AnswerListener listener) {
+        outstanding.incrementAndGet();
+        sentSinceTokens.addAndGet(tokens);
+        return client.call(start, listener);
+    }
+
+    /** Notes that a call started with {@link #call} has ended. */
+    public void callEnded() {
+        outstanding.decrementAndGet();
+    }
+
+    /** Returns the connection, for control requests. */
+    public WireClient client() {
+        return client;
+    }
+
+    @Override
+    public void close() {
+        client.close();
+    }
+
+    void update(Member newMember) {
+        member = newMember;
+        client.connect();
+    }
+
+    private final class Listener implements PeerListener {
+        @Override
+        public void onHello(Hello hello) {
+            peer = hello;
+            connected = true;
+        }
+
+        @Override
+        public void onLoad(EndpointLoad report) {
+            load = new LoadReport(
+                    report.getQueuedTokens(),
+                    report.getRunningRequests(),
+                    report.getCapacityRequests(),
+                    report.getStepMillis(),
+                    report.getPrefillTokensPerSecond(),
+                    report.getAccepting());
+            reportedAtMillis = clock.monotonicMillis() - report.getAgeMillis();
+            sentSinceTokens.set(0);
+        }
+
+        @Override
+        public void onDisconnected() {
+            connected = false;
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/jasminehub/entry/http/CallerServerFactory.java
@@ -0,0 +1,58 @@
+package org.jasminehub.entry.http;
+
+import java.util.Map;
+import java.util.function.Supplier;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.jasminehub.core.address.AddressPolicy;
+import org.jasminehub.core.event.EventSink;
+import org.jasminehub.core.identity.RequestId;
+import org.jasminehub.core.time.Clock;
+import org.jasminehub.entry.EntrySettings;
+import org.jasminehub.entry.control.ControlState;
+import org.jasminehub.entry.filter.RequestHandler;
+import org.jasminehub.entry.filter.RequestIdentifier;
+
+/** Starts the HTTP server with all its pages. Safe for use by several threads. */
+public final class CallerServerFactory {
+    private final ActorSystem<?> system;
+    private final EntrySettings settings;
+    private final AddressPolicy addresses;
+    private final Supplier<ControlState> state;
+    private final Supplier<RequestId> ids;
+    private final Clock clock;
+    private final EventSink events;
+
+    /** Creates a factory; {@code ids} names each request. */
+    public CallerServerFactory(
+            ActorSystem<?> system,
+            EntrySettings settings,
+            AddressPolicy addresses,
+            Supplier<ControlState> state,
+            Supplier<RequestId> ids,
+            Clock clock,
+            EventSink events) {
+        this.system = system;
+        this.settings = settings;
+        this.addresses = addresses;
+        this.state = state;
+        this.ids = ids;
+        this.clock = clock;
+        this.events = events;
+    }
+
+    /** Starts a server that answers requests with {@code chain}. */
+    public CallerServer start(RequestHandler chain) {
+        AddressPage addressPage = new AddressPage(state, addresses, settings.addressTtlMillis());
+        StatusPage statusPage = new StatusPage(settings.instance(), state);
+        return new CallerServer(
+                system,
+                settings.host(),
+                settings.callerPort(),
+                new RequestReader(clock, ids),
+                new RequestIdentifier(state),
+                chain,
+                Map.of("/v1/addresses", addressPage::handle, "/v1/status", statusPage::handle),
+                events,
+                settings.maxBodyBytes());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/jasminehub/entry/relay/RelayHandler.java
@@ -0,0 +1,77 @@
+package org.jasminehub.entry.relay;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.util.ByteString;
+import org.jasminehub.core.event.EventSink;
+import org.jasminehub.core.identity.FailureDomain;
+import org.jasminehub.core.routing.EndpointPolicy;
+import org.jasminehub.core.time.Clock;
+import org.jasminehub.entry.endpoint.EndpointDirectory;
+import org.jasminehub.entry.filter.Answer;
+import org.jasminehub.entry.filter.RequestContext;
+import org.jasminehub.entry.filter.RequestHandler;
+import org.jasminehub.wire.generated.AnswerHead;
+import org.jasminehub.wire.generated.Header;
+
+/**
+ * The last step of the filter chain: sends the request to an endpoint and relays its answer.
+ *
+ * <p>A stream is relayed as it comes and goes on elsewhere when its endpoint fails. Any other answer is collected first,
+ * so a caller gets it whole or gets an error. Safe for use by several threads.
+ */
+public final class RelayHandler implements RequestHandler {
+    private static final int FIRST_ERROR_STATUS = 400;
+
+    private final ActorSystem<?> system;
+    private final FailureDomain origin;
+    private final EndpointDirectory directory;
+    private final EndpointPolicy policy;
+    private final Clock clock;
+    private final EventSink events;
+
+    /** Creates a relay of the entry instance in {@code origin}. */
+    public RelayHandler(
+            ActorSystem<?> system,
+            FailureDomain origin,
+            EndpointDirectory directory,
+            EndpointPolicy policy,
+            Clock clock,
+            EventSink events) {
+        this.system = system;
+        this.origin = origin;
+        this.directory = directory;
+        this.policy = policy;
+        this.clock = clock;
+        this.events = events;
+    }
+
+    @Override
+    public CompletionStage<Answer> handle(RequestContext context) {
+        RelaySession session = new RelaySession(context, origin, directory, policy, clock, events);
+        return session.begin()
+                .thenCompose(attempt -> attempt.head().thenCompose(head -> toAnswer(context, session, attempt, head)));
+    }
+
+    private CompletionStage<Answer> toAnswer(
+            RequestContext context, RelaySession session, Attempt attempt, AnswerHead head) {
+        Source<ByteString, NotUsed> chunks = Source.fromGraph(new AnswerStage(attempt, session::resume));
+        if (context.request().stream() && head.getStatus() < FIRST_ERROR_STATUS) {
+            return CompletableFuture.completedFuture(
+                    new Answer.Streamed(head.getStatus(), contentTypeOf(head), EventStreams.toEventStream(chunks)));
+        }
+        return chunks.runFold(ByteString.emptyByteString(), ByteString::concat, system)
+                .thenApply(body -> new Answer.Whole(head.getStatus(), contentTypeOf(head), body));
+    }
+
+    private static String contentTypeOf(AnswerHead head) {
+        return head.getHeadersList().stream()
+                .filter(header -> header.getName().equals("content-type"))
+                .map(Header::getValue)
+                .findFirst()
+                .orElse("application/octet-stream");
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/jasminehub/entry/relay/RelaySession.java
@@ -0,0 +1,166 @@
+package org.jasminehub.entry.relay;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import org.jasminehub.core.document.RouteKind;
+import org.jasminehub.core.error.ErrorCode;
+import org.jasminehub.core.error.Outcome;
+import org.jasminehub.core.error.RequestException;
+import org.jasminehub.core.event.EventSink;
+import org.jasminehub.core.identity.EndpointId;
+import org.jasminehub.core.identity.FailureDomain;
+import org.jasminehub.core.routing.EndpointChoice;
+import org.jasminehub.core.routing.EndpointPolicy;
+import org.jasminehub.core.routing.EndpointState;
+import org.jasminehub.core.routing.RoutingRequest;
+import org.jasminehub.core.time.Clock;
+import org.jasminehub.entry.endpoint.EndpointDirectory;
+import org.jasminehub.entry.endpoint.EndpointLink;
+import org.jasminehub.entry.filter.RequestContext;
+
+/** The attempts of one request, one after the other, each at another endpoint. Used by one thread at a time. */
+final class RelaySession {
+    private static final long NO_ENDPOINT_RETRY_AFTER_MILLIS = 500;
+
+    private final RequestContext context;
+    private final FailureDomain origin;
+    private final EndpointDirectory directory;
+    private final EndpointPolicy policy;
+    private final Clock clock;
+    private final EventSink events;
+    private final List<EndpointId> tried = new ArrayList<>();
+
+    RelaySession(
+            RequestContext context,
+            FailureDomain origin,
+            EndpointDirectory directory,
+            EndpointPolicy policy,
+            Clock clock,
+            EventSink events) {
+        this.context = context;
+        this.origin = origin;
+        this.directory = directory;
+        this.policy = policy;
+        this.clock = clock;
+        this.events = events;
+    }
+
+    /** Returns the first attempt whose head arrives. */
+    CompletionStage<Attempt> begin() {
+        return attempt(0);
+    }
+
+    /** Returns another attempt in place of one that failed, from the chunk after those already relayed. */
+    CompletionStage<Attempt> resume(AnswerInterruption interruption) {
+        events.emit(new AnswerInterrupted(
+                context.request().id().value(),
+                lastTried(),
+                tried.size(),
+                interruption.relayedChunks(),
+                interruption.failure().code().code()));
+        if (interruption.relayedChunks() > 0 && !isResumable()) {
+            return CompletableFuture.failedFuture(interruption.failure());
+        }
+        return retryAfter(interruption.failure(), interruption.relayedChunks());
+    }
+
+    private boolean isResumable() {
+        return context.route().kind() == RouteKind.STREAM && context.request().stream();
+    }
+
+    private CompletionStage<Attempt> attempt(int resumeFromChunk) {
+        Optional<EndpointLink> link = choose();
+        if (link.isEmpty()) {
+            return CompletableFuture.failedFuture(new RequestException(
+                    ErrorCode.NO_ENDPOINT,
+                    Outcome.NOT_RUN,
+                    NO_ENDPOINT_RETRY_AFTER_MILLIS,
+                    "no endpoint serves " + context.route().target() + " at present"));
+        }
+        tried.add(link.get().id());
+        long tokens = context.request().promptTokens() + context.request().maxAnswerTokens();
+        Attempt attempt = Attempt.start(
+                link.get(), CallStarts.of(context, tried.size(), resumeFromChunk, remainingMillis()), tokens);
+        return attempt.head()
+                .handle((head, failure) -> failure == null
+                        ? CompletableFuture.completedFuture(attempt)
+                        : retryAfter(toRequestException(failure), resumeFromChunk))
+                .thenCompose(stage -> stage);
+    }
+
+    private CompletionStage<Attempt> retryAfter(RequestException failure, int resumeFromChunk) {
+        boolean harmless = failure.outcome() == Outcome.NOT_RUN || context.isRepeatable();
+        boolean allowed = tried.size() < context.route().retry().maxAttempts() && remainingMillis() > 0;
+        if (!harmless || !allowed) {
+            return CompletableFuture.failedFuture(failure);
+        }
+        events.emit(new AttemptRetried(
+                context.request().id().value(),
+                lastTried(),
+                tried.size(),
+                failure.code().code(),
+                failure.outcome().label()));
+        return attempt(resumeFromChunk)
+                .handle((attempt, problem) -> attempt != null
+                        ? CompletableFuture.completedFuture(attempt)
+                        : CompletableFuture.<Attempt>failedFuture(worseOf(failure, toRequestException(problem))))
+                .thenCompose(stage -> stage);
+    }
+
+    /** A later "not run" says nothing of an earlier attempt that may have run. */
+    private static RequestException worseOf(RequestException earlier, RequestException later) {
+        return earlier.outcome() == Outcome.UNKNOWN ? earlier : later;
+    }
+
+    private Optional<EndpointLink> choose() {
+        List<EndpointState> candidates = new ArrayList<>();
+        for (EndpointLink link : directory.usable(context.route().target())) {
+            if (!tried.contains(link.id())) {
+                candidates.add(link.state(0));
+            }
+        }
+        RoutingRequest request = new RoutingRequest(
+                origin,
+                context.request().promptTokens(),
+                context.request().maxAnswerTokens(),
+                context.route().priority(),
+                remainingMillis());
+        Optional<EndpointChoice> choice = policy.choose(request, candidates);
+        choice.ifPresent(this::logChoice);
+        return choice.flatMap(made -> directory.link(made.endpoint()));
+    }
+
+    private void logChoice(EndpointChoice choice) {
+        events.emit(new EndpointChosen(
+                context.request().id().value(),
+                context.request().workspace().value(),
+                context.route().name(),
+                tried.size() + 1,
+                choice.endpoint().value(),
+                choice.estimateMillis(),
+                choice.considered(),
+                choice.reason()));
+    }
+
+    private String lastTried() {
+        return tried.isEmpty() ? "" : tried.get(tried.size() - 1).value();
+    }
+
+    private long remainingMillis() {
+        return Math.max(0, context.deadlineMillis() - clock.monotonicMillis());
+    }
+
+    static RequestException toRequestException(Throwable failure) {
+        Throwable cause =
+                failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
+        if (cause instanceof RequestException known) {
+            return known;
+        }
+        return new RequestException(
+                ErrorCode.INTERNAL, Outcome.UNKNOWN, RequestException.NO_RETRY, String.valueOf(cause), cause);
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/jasminehub/wire/ControlRouter.java
@@ -0,0 +1,45 @@
+package org.jasminehub.wire;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import org.jasminehub.core.error.ErrorCode;
+import org.jasminehub.wire.generated.ControlFailure;
+import org.jasminehub.wire.generated.ControlReply;
+import org.jasminehub.wire.generated.ControlRequest;
+
+/**
+ * Hands each kind of control request to its own handler and refuses kinds without one.
+ *
+ * <pre>{@code
+ * ControlRouter router = new ControlRouter();
+ * router.on(ControlRequest.BodyCase.STATUS, request -> ...);
+ * }</pre>
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class ControlRouter implements ControlHandler {
+    private final Map<ControlRequest.BodyCase, ControlHandler> handlers = new ConcurrentHashMap<>();
+
+    /** Sets the handler of requests of {@code kind}. */
+    public void on(ControlRequest.BodyCase kind, ControlHandler handler) {
+        handlers.put(kind, handler);
+    }
+
+    @Override
+    public CompletionStage<ControlReply.Builder> onRequest(ControlRequest request) {
+        ControlHandler handler = handlers.get(request.getBodyCase());
+        if (handler == null) {
+            return CompletableFuture.completedFuture(unsupported(request));
+        }
+        return handler.onRequest(request);
+    }
+
+    private static ControlReply.Builder unsupported(ControlRequest request) {
+        return ControlReply.newBuilder()
+                .setFailure(ControlFailure.newBuilder()
+                        .setCode(ErrorCode.PROTOCOL_VIOLATION.code())
+                        .setMessage("no handler of " + request.getBodyCase()));
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/jasminehub/wire/ServerConnection.java
@@ -0,0 +1,154 @@
+package org.jasminehub.wire;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+import org.jasminehub.core.error.ErrorCode;
+import org.jasminehub.core.event.EventSink;
+import org.jasminehub.wire.generated.CallStart;
+import org.jasminehub.wire.generated.ControlFailure;
+import org.jasminehub.wire.generated.ControlReply;
+import org.jasminehub.wire.generated.ControlRequest;
+import org.jasminehub.wire.generated.Envelope;
+import org.jasminehub.wire.generated.Hello;
+import org.jspecify.annotations.Nullable;
+
+/** One accepted connection: its calls that still run. All inbound methods run on the connection's own thread. */
+final class ServerConnection extends SimpleChannelInboundHandler<Envelope> {
+    private final Supplier<Hello> hello;
+    private final CallHandler callHandler;
+    private final ControlHandler controlHandler;
+    private final EventSink events;
+    private final Set<ServerConnection> open;
+    private final Map<Long, ServerCall> calls = new ConcurrentHashMap<>();
+
+    private volatile @Nullable ChannelHandlerContext context;
+    private boolean introduced;
+
+    ServerConnection(
+            Supplier<Hello> hello,
+            CallHandler callHandler,
+            ControlHandler controlHandler,
+            EventSink events,
+            Set<ServerConnection> open) {
+        this.hello = hello;
+        this.callHandler = callHandler;
+        this.controlHandler = controlHandler;
+        this.events = events;
+        this.open = open;
+    }
+
+    void send(Envelope message) {
+        ChannelHandlerContext present = context;
+        if (present != null) {
+            present.writeAndFlush(message);
+        }
+    }
+
+    void close() {
+        ChannelHandlerContext present = context;
+        if (present != null) {
+            present.close();
+        }
+    }
+
+    void forget(long callId) {
+        calls.remove(callId);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        open.remove(this);
+        List.copyOf(calls.values()).forEach(ServerCall::cancel);
+        calls.clear();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        events.emit(new PeerRejected(addressOf(ctx), cause.getClass().getSimpleName()));
+        ctx.close();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, Envelope message) {
+        if (!introduced) {
+            onFirstMessage(ctx, message);
+            return;
+        }
+        switch (message.getBodyCase()) {
+            case CALL_START -> onCallStart(ctx, message.getCallStart());
+            case CALL_CREDIT -> onCredit(message);
+            case CALL_CANCEL -> onCancel(message.getCallCancel().getCallId());
+            case CONTROL_REQUEST -> onControlRequest(message.getControlRequest());
+            default -> reject(ctx, "unexpected " + message.getBodyCase());
+        }
+    }
+
+    private void onFirstMessage(ChannelHandlerContext ctx, Envelope message) {
+        if (!message.hasHello()) {
+            reject(ctx, "no hello");
+            return;
+        }
+        int version = message.getHello().getProtocolVersion();
+        ctx.writeAndFlush(Envelope.newBuilder().setHello(hello.get()).build());
+        if (version != WireProtocol.VERSION) {
+            reject(ctx, "protocol version " + version);
+            return;
+        }
+        introduced = true;
+        context = ctx;
+        open.add(this);
+    }
+
+    private void onCallStart(ChannelHandlerContext ctx, CallStart start) {
+        ServerCall call = new ServerCall(this, start);
+        if (calls.putIfAbsent(start.getCallId(), call) != null) {
+            reject(ctx, "repeated call id " + start.getCallId());
+            return;
+        }
+        callHandler.onCall(call);
+    }
+
+    private void onCredit(Envelope message) {
+        ServerCall call = calls.get(message.getCallCredit().getCallId());
+        if (call != null) {
+            call.credit(message.getCallCredit().getChunks());
+        }
+    }
+
+    private void onCancel(long callId) {
+        ServerCall call = calls.remove(callId);
+        if (call != null) {
+            call.cancel();
+        }
+    }
+
+    private void onControlRequest(ControlRequest request) {
+        controlHandler.onRequest(request).whenComplete((reply, failure) -> {
+            ControlReply.Builder answer = failure == null ? reply : failureOf(failure);
+            send(Envelope.newBuilder()
+                    .setControlReply(answer.setCorrelationId(request.getCorrelationId()))
+                    .build());
+        });
+    }
+
+    private static ControlReply.Builder failureOf(Throwable failure) {
+        return ControlReply.newBuilder()
+                .setFailure(ControlFailure.newBuilder()
+                        .setCode(ErrorCode.INTERNAL.code())
+                        .setMessage(String.valueOf(failure.getMessage())));
+    }
+
+    private void reject(ChannelHandlerContext ctx, String reason) {
+        events.emit(new PeerRejected(addressOf(ctx), reason));
+        ctx.close();
+    }
+
+    private static String addressOf(ChannelHandlerContext ctx) {
+        return String.valueOf(ctx.channel().remoteAddress());
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/jasminehub/wire/WireServer.java
@@ -0,0 +1,96 @@
+package org.jasminehub.wire;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+import org.jasminehub.core.event.EventSink;
+import org.jasminehub.wire.generated.EndpointLoad;
+import org.jasminehub.wire.generated.Envelope;
+import org.jasminehub.wire.generated.Hello;
+
+/**
+ * Accepts connections of peers, their calls and their control requests.
+ *
+ * <pre>{@code
+ * WireServer server = WireServer.start(group, "127.0.0.1", 0, hello, callHandler, controlHandler, events);
+ * int port = server.port();
+ * }</pre>
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class WireServer implements AutoCloseable {
+    private final Supplier<Hello> hello;
+    private final Set<ServerConnection> connections;
+    private final Channel channel;
+
+    private WireServer(Supplier<Hello> hello, Set<ServerConnection> connections, Channel channel) {
+        this.hello = hello;
+        this.connections = connections;
+        this.channel = channel;
+    }
+
+    /**
+     * Starts a server on {@code host} and {@code port}; port 0 takes a free one.
+     *
+     * @throws WireException if the port cannot be bound
+     */
+    public static WireServer start(
+            WireGroup group,
+            String host,
+            int port,
+            Supplier<Hello> hello,
+            CallHandler callHandler,
+            ControlHandler controlHandler,
+            EventSink events) {
+        Set<ServerConnection> open = ConcurrentHashMap.newKeySet();
+        ChannelFuture binding = new ServerBootstrap()
+                .group(group.loops())
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel accepted) {
+                        WireProtocol.addCodec(accepted.pipeline());
+                        accepted.pipeline()
+                                .addLast(new ServerConnection(hello, callHandler, controlHandler, events, open));
+                    }
+                })
+                .bind(host, port)
+                .awaitUninterruptibly();
+        if (!binding.isSuccess()) {
+            throw new WireException("cannot bind " + host + ":" + port, binding.cause());
+        }
+        return new WireServer(hello, open, binding.channel());
+    }
+
+    /** Returns the port that it listens on. */
+    public int port() {
+        return ((InetSocketAddress) channel.localAddress()).getPort();
+    }
+
+    /** Sends {@code load} to every peer that is connected. */
+    public void broadcastLoad(EndpointLoad load) {
+        Envelope message = Envelope.newBuilder().setEndpointLoad(load).build();
+        connections.forEach(connection -> connection.send(message));
+    }
+
+    /** Tells every connected peer again who this process is, for example that it is leaving now. */
+    public void broadcastHello() {
+        Envelope message = Envelope.newBuilder().setHello(hello.get()).build();
+        connections.forEach(connection -> connection.send(message));
+    }
+
+    @Override
+    public void close() {
+        channel.close().awaitUninterruptibly();
+        connections.forEach(ServerConnection::close);
+    }
+}
