Decide on documents by replaying the log

Cause: which document is in force must be the same on every instance through races, lost answers, outages and a log that drops records, and must never go back.

--- /dev/null
+++ b/core/src/main/java/org/jasminehub/core/history/HistoryStateFactory.java
@@ -0,0 +1,51 @@
+package org.jasminehub.core.history;
+
+import com.google.common.collect.ImmutableSortedMap;
+import java.util.List;
+import java.util.TreeMap;
+import org.jasminehub.core.document.DocumentYamlAdapter;
+import org.jasminehub.core.document.TeamDocument;
+import org.jasminehub.core.error.DocumentException;
+import org.jasminehub.core.identity.TeamId;
+
+/**
+ * Builds a state from the documents of a snapshot, and checks each against the schema.
+ *
+ * <p>Immutable.
+ */
+public final class HistoryStateFactory {
+    private final DocumentYamlAdapter schema;
+
+    /** Creates a factory that parses with {@code schema}. */
+    public HistoryStateFactory(DocumentYamlAdapter schema) {
+        this.schema = schema;
+    }
+
+    /**
+     * Returns the state that {@code documents} make up.
+     *
+     * @throws DocumentException if a document does not pass the schema, is newer than the state, or stands twice
+     */
+    public HistoryState create(long completeTo, ChainHead head, List<DocumentInForce> documents) {
+        TreeMap<TeamId, VersionedDocument> byTeam = new TreeMap<>();
+        for (DocumentInForce source : documents) {
+            if (source.version() >= completeTo) {
+                throw new DocumentException(source.team(), source.version(), "a version below " + completeTo);
+            }
+            VersionedDocument parsed = new VersionedDocument(source, parse(source.team(), source.documentText()));
+            if (byTeam.put(new TeamId(source.team()), parsed) != null) {
+                throw new DocumentException(source.team(), "two documents", "one document a team");
+            }
+        }
+        return new HistoryState(completeTo, head, ImmutableSortedMap.copyOfSorted(byTeam));
+    }
+
+    /** Returns the document of {@code team} that {@code text} describes. */
+    TeamDocument parse(String team, String text) {
+        TeamDocument document = schema.read(text);
+        if (!document.team().equals(team)) {
+            throw new DocumentException("team", document.team(), team);
+        }
+        return document;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/jasminehub/core/history/AuditVerifierTest.java
@@ -0,0 +1,101 @@
+package org.jasminehub.core.history;
+
+import static org.jasminehub.core.history.HistoryFixtures.publish;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+final class AuditVerifierTest {
+    private static final int ENTRIES = 6;
+
+    private final List<AuditEntry> entries = new ArrayList<>(chain("honest"));
+    private final ChainHead head = entries.get(ENTRIES - 1).head();
+
+    private static List<AuditEntry> chain(String nonce) {
+        List<AuditEntry> entries = new ArrayList<>();
+        ChainHead head = ChainHead.START;
+        for (int i = 0; i < ENTRIES; i++) {
+            AuditEntry entry =
+                    head.extend(10L * i, publish("drafts", i == 0 ? HistoryState.NO_VERSION : 10L * i - 10, nonce + i));
+            entries.add(entry);
+            head = entry.head();
+        }
+        return entries;
+    }
+
+    private List<AuditFault> faults() {
+        AuditTrail trail = new AuditTrail(ChainHead.START, entries, head);
+        return new AuditVerifier().verify(trail, Optional.of(head));
+    }
+
+    private static AuditEntry withOperator(AuditEntry entry, String operator) {
+        return new AuditEntry(
+                entry.sequence(),
+                entry.version(),
+                entry.team(),
+                entry.baseVersion(),
+                entry.nonce(),
+                operator,
+                entry.reason(),
+                entry.wallMillis(),
+                entry.documentSha256(),
+                entry.previousHash(),
+                entry.hash());
+    }
+
+    private void assertNamed(AuditFault.Kind kind, long sequence) {
+        List<AuditFault> faults = faults();
+        assertFalse(faults.isEmpty());
+        assertEquals(kind, faults.get(0).kind());
+        assertEquals(sequence, faults.get(0).sequence());
+    }
+
+    @Test
+    void testUntouchedTrailHasNoFault() {
+        assertEquals(List.of(), faults());
+    }
+
+    @Test
+    void testEachRemovedEntryIsNamed() {
+        for (int i = 0; i < ENTRIES; i++) {
+            AuditEntry removed = entries.remove(i);
+            assertNamed(AuditFault.Kind.REMOVED, i + 1L);
+            entries.add(i, removed);
+        }
+    }
+
+    @Test
+    void testEachChangedEntryIsNamed() {
+        for (int i = 0; i < ENTRIES; i++) {
+            AuditEntry entry = entries.set(i, withOperator(entries.get(i), "somebody else"));
+            assertNamed(AuditFault.Kind.CHANGED, i + 1L);
+            entries.set(i, entry);
+        }
+    }
+
+    @Test
+    void testChangedEntryWithANewHashIsNamed() {
+        AuditEntry changed = withOperator(entries.get(2), "somebody else");
+        entries.set(2, changed.withHash(ChainHead.hashOf(changed)));
+        assertNamed(AuditFault.Kind.CHANGED, 3);
+    }
+
+    @Test
+    void testSwappedEntriesAreFound() {
+        entries.add(1, entries.remove(2));
+        assertNamed(AuditFault.Kind.REMOVED, 2);
+    }
+
+    @Test
+    void testTrailForgedAsAWholeIsFoundByTheTrustedHead() {
+        List<AuditEntry> forged = chain("forged");
+        AuditTrail trail =
+                new AuditTrail(ChainHead.START, forged, forged.get(ENTRIES - 1).head());
+        assertEquals(List.of(), new AuditVerifier().verify(trail, Optional.empty()));
+        assertFalse(new AuditVerifier().verify(trail, Optional.of(head)).isEmpty());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/jasminehub/core/history/HistoryFixtures.java
@@ -0,0 +1,126 @@
+package org.jasminehub.core.history;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.jasminehub.core.document.DocumentYamlAdapter;
+import org.jasminehub.core.identity.FailureDomain;
+import org.jasminehub.core.identity.InstanceId;
+import org.jasminehub.core.identity.TeamId;
+import org.jasminehub.core.membership.Member;
+import org.jasminehub.core.membership.MemberRole;
+import org.jasminehub.core.membership.MemberState;
+
+/** Documents, records, members and a log that forgets, for tests of this package. */
+final class HistoryFixtures {
+    static final String INVALID_DOCUMENT = "schemaVersion: 1\nteam: drafts\nworkspaces: []\n";
+    static final int PAGE_RECORDS = 3;
+
+    private HistoryFixtures() {}
+
+    static String document(String team, int skewWeight) {
+        return "schemaVersion: 1\nteam: " + team + "\nworkspaces: []\nroutes: []\nexperts: {skewWeight: " + skewWeight
+                + ", moveWeight: 1}\n";
+    }
+
+    static PublishRecord publish(String team, long base, String nonce) {
+        return new PublishRecord(team, base, nonce, "operator-of-" + nonce, "test", 0, document(team, 1));
+    }
+
+    static PublishRecord invalidPublish(String team, long base, String nonce) {
+        return new PublishRecord(team, base, nonce, "operator-of-" + nonce, "test", 0, INVALID_DOCUMENT);
+    }
+
+    static HistoryReplay newReplay() {
+        return new HistoryReplay(new DocumentYamlAdapter());
+    }
+
+    static Member entry(int number, String domain) {
+        return new Member(
+                new InstanceId("entry-" + number),
+                MemberRole.ENTRY,
+                MemberState.LIVE,
+                new FailureDomain(domain),
+                "127.0.0.1",
+                7000,
+                8000,
+                List.of());
+    }
+
+    /** A log in memory that drops records from its start when told to. */
+    static final class Log {
+        private final HistoryRecordCodec codec = new HistoryRecordCodec();
+        private final List<byte[]> payloads = new ArrayList<>();
+        private long firstOffset;
+
+        long append(HistoryRecord record) {
+            return append(codec.encode(record));
+        }
+
+        long append(String text) {
+            return append(text.getBytes(StandardCharsets.UTF_8));
+        }
+
+        long append(byte[] payload) {
+            payloads.add(payload);
+            return payloads.size() - 1;
+        }
+
+        void appendSnapshot(HistoryState state, String round) {
+            new SnapshotSplitter(1).split(state, round, "entry-1", 0).forEach(this::append);
+        }
+
+        void dropBelow(long offset) {
+            firstOffset = Math.max(firstOffset, offset);
+        }
+
+        long nextOffset() {
+            return payloads.size();
+        }
+
+        byte[] payload(long offset) {
+            return payloads.get((int) offset);
+        }
+
+        List<OffsetRecord> records(long from, int count) {
+            List<OffsetRecord> records = new ArrayList<>();
+            for (long at = Math.max(from, firstOffset); at < nextOffset() && records.size() < count; at++) {
+                records.add(new OffsetRecord(at, payload(at)));
+            }
+            return records;
+        }
+
+        /** Lets {@code replay} read one page and returns what it decided. */
+        List<HistoryEvent> readPage(HistoryReplay replay, int pageRecords) {
+            return replay.applyLogPage(firstOffset, records(replay.nextOffset(), pageRecords));
+        }
+
+        /** Lets {@code replay} read to the end and returns all that it decided. */
+        List<HistoryEvent> readAll(HistoryReplay replay) {
+            List<HistoryEvent> events = new ArrayList<>(readPage(replay, PAGE_RECORDS));
+            while (replay.nextOffset() < nextOffset()) {
+                events.addAll(readPage(replay, PAGE_RECORDS));
+            }
+            return events;
+        }
+
+        /** Returns a replay of every record ever appended, dropped or not. */
+        HistoryReplay replayAllFromStart() {
+            HistoryReplay replay = newReplay();
+            for (int at = 0; at < payloads.size(); at++) {
+                replay.applyLogPage(0, List.of(new OffsetRecord(at, payloads.get(at))));
+            }
+            return replay;
+        }
+
+        HistoryReplay replayAll() {
+            HistoryReplay replay = newReplay();
+            readAll(replay);
+            return replay;
+        }
+    }
+
+    static long version(HistoryReplay replay, String team) {
+        return replay.state().version(new TeamId(team));
+    }
+}
