--- a/core/src/main/java/org/jasminehub/core/history/DocumentInForce.java
+++ b/core/src/main/java/org/jasminehub/core/history/AcceptedDocument.java
@@ -12,10 +12,10 @@
  * @param operator who published it
  * @param documentText the document in YAML
  */
-public record DocumentInForce(
+public record AcceptedDocument(
         String team, long version, long baseVersion, String nonce, String operator, String documentText) {
     /** Creates a checked document. */
-    public DocumentInForce {
+    public AcceptedDocument {
         Checks.notBlank("team", team);
         Checks.notNegative("version", version);
         Checks.notBlank("nonce", nonce);
--- a/core/src/main/java/org/jasminehub/core/history/HistoryReplay.java
+++ b/core/src/main/java/org/jasminehub/core/history/HistoryReplay.java
@@ -152,7 +152,7 @@
 
     private HistoryEvent accept(long offset, PublishRecord publish, TeamDocument document) {
         AuditEntry entry = state.head().extend(offset, publish);
-        DocumentInForce source = new DocumentInForce(
+        AcceptedDocument source = new AcceptedDocument(
                 publish.team(),
                 offset,
                 publish.baseVersion(),
@@ -166,7 +166,7 @@
     }
 
     private void takeSnapshot(
-            long offset, SnapshotRecord part, List<DocumentInForce> documents, List<HistoryEvent> events) {
+            long offset, SnapshotRecord part, List<AcceptedDocument> documents, List<HistoryEvent> events) {
         if (part.completeTo() > offset) {
             events.add(refuse(part, "it claims records that came after it"));
             return;
@@ -183,7 +183,7 @@
         }
     }
 
-    private void installFromLog(SnapshotRecord part, List<DocumentInForce> documents, List<HistoryEvent> events) {
+    private void installFromLog(SnapshotRecord part, List<AcceptedDocument> documents, List<HistoryEvent> events) {
         try {
             HistoryState offered = states.create(part.completeTo(), part.head(), documents);
             events.addAll(install(offered, part.writer()));
@@ -192,7 +192,7 @@
         }
     }
 
-    private Optional<DocumentInForce> firstUnknown(List<DocumentInForce> documents) {
+    private Optional<AcceptedDocument> firstUnknown(List<AcceptedDocument> documents) {
         return documents.stream()
                 .filter(document -> document.version() > state.version(new TeamId(document.team())))
                 .findFirst();
--- a/core/src/main/java/org/jasminehub/core/history/HistoryState.java
+++ b/core/src/main/java/org/jasminehub/core/history/HistoryState.java
@@ -30,7 +30,7 @@
     }
 
     /** Returns the accepted records' fields, ordered by team. */
-    public List<DocumentInForce> sources() {
+    public List<AcceptedDocument> sources() {
         return documents.values().stream().map(VersionedDocument::source).toList();
     }
 
--- a/core/src/main/java/org/jasminehub/core/history/HistoryStateFactory.java
+++ b/core/src/main/java/org/jasminehub/core/history/HistoryStateFactory.java
@@ -26,9 +26,9 @@
      *
      * @throws DocumentException if a document does not pass the schema, is newer than the state, or stands twice
      */
-    public HistoryState create(long completeTo, ChainHead head, List<DocumentInForce> documents) {
+    public HistoryState create(long completeTo, ChainHead head, List<AcceptedDocument> documents) {
         TreeMap<TeamId, VersionedDocument> byTeam = new TreeMap<>();
-        for (DocumentInForce source : documents) {
+        for (AcceptedDocument source : documents) {
             if (source.version() >= completeTo) {
                 throw new DocumentException(source.team(), source.version(), "a version below " + completeTo);
             }
--- a/core/src/main/java/org/jasminehub/core/history/PublishSettlement.java
+++ b/core/src/main/java/org/jasminehub/core/history/PublishSettlement.java
@@ -58,7 +58,7 @@
         if (current.isEmpty()) {
             return new PublishOutcome.Conflicted(versionInForce, "");
         }
-        DocumentInForce source = current.get().source();
+        AcceptedDocument source = current.get().source();
         if (source.nonce().equals(publish.nonce())) {
             return new PublishOutcome.Accepted(versionInForce);
         }
--- a/core/src/main/java/org/jasminehub/core/history/SnapshotAssembler.java
+++ b/core/src/main/java/org/jasminehub/core/history/SnapshotAssembler.java
@@ -14,7 +14,7 @@
     private final Map<String, TreeMap<Integer, SnapshotRecord>> partsByRound = new LinkedHashMap<>();
 
     /** Takes one part and returns all documents of its snapshot once no part is missing. */
-    Optional<List<DocumentInForce>> add(SnapshotRecord part) {
+    Optional<List<AcceptedDocument>> add(SnapshotRecord part) {
         TreeMap<Integer, SnapshotRecord> parts = partsByRound.computeIfAbsent(part.round(), round -> new TreeMap<>());
         if (parts.isEmpty() || belongTogether(parts.firstEntry().getValue(), part)) {
             parts.putIfAbsent(part.part(), part);
@@ -24,7 +24,7 @@
             return Optional.empty();
         }
         partsByRound.remove(part.round());
-        List<DocumentInForce> documents = new ArrayList<>();
+        List<AcceptedDocument> documents = new ArrayList<>();
         parts.values().forEach(each -> documents.addAll(each.documents()));
         return Optional.of(documents);
     }
--- a/core/src/main/java/org/jasminehub/core/history/SnapshotRecord.java
+++ b/core/src/main/java/org/jasminehub/core/history/SnapshotRecord.java
@@ -23,7 +23,7 @@
         ChainHead head,
         int part,
         int partCount,
-        List<DocumentInForce> documents)
+        List<AcceptedDocument> documents)
         implements HistoryRecord {
     /** Creates a checked part. */
     public SnapshotRecord {
--- a/core/src/main/java/org/jasminehub/core/history/SnapshotSplitter.java
+++ b/core/src/main/java/org/jasminehub/core/history/SnapshotSplitter.java
@@ -19,20 +19,20 @@
 
     /** Returns the parts of the snapshot {@code round} that {@code writer} writes of {@code state}. */
     public List<SnapshotRecord> split(HistoryState state, String round, String writer, long wallMillis) {
-        List<List<DocumentInForce>> shares = sharesOf(state.sources());
+        List<List<AcceptedDocument>> shares = sharesOf(state.sources());
         List<SnapshotRecord> parts = new ArrayList<>();
-        for (List<DocumentInForce> share : shares) {
+        for (List<AcceptedDocument> share : shares) {
             parts.add(new SnapshotRecord(
                     round, writer, wallMillis, state.completeTo(), state.head(), parts.size(), shares.size(), share));
         }
         return parts;
     }
 
-    private List<List<DocumentInForce>> sharesOf(List<DocumentInForce> documents) {
-        List<List<DocumentInForce>> shares = new ArrayList<>();
-        List<DocumentInForce> share = new ArrayList<>();
+    private List<List<AcceptedDocument>> sharesOf(List<AcceptedDocument> documents) {
+        List<List<AcceptedDocument>> shares = new ArrayList<>();
+        List<AcceptedDocument> share = new ArrayList<>();
         int characters = 0;
-        for (DocumentInForce document : documents) {
+        for (AcceptedDocument document : documents) {
             int length = document.documentText().length();
             if (!share.isEmpty() && characters + length > maxPartCharacters) {
                 shares.add(share);
--- a/core/src/main/java/org/jasminehub/core/history/VersionedDocument.java
+++ b/core/src/main/java/org/jasminehub/core/history/VersionedDocument.java
@@ -8,7 +8,7 @@
  * @param source the accepted record's fields
  * @param document what its text describes
  */
-public record VersionedDocument(DocumentInForce source, TeamDocument document) {
+public record VersionedDocument(AcceptedDocument source, TeamDocument document) {
     /** Returns the version in force. */
     public long version() {
         return source.version();
--- a/core/src/main/java/org/jasminehub/core/yaml/StrictYamlReader.java
+++ b/core/src/main/java/org/jasminehub/core/yaml/StrictYamlReader.java
@@ -32,6 +32,7 @@
  */
 public final class StrictYamlReader {
     private static final int MAX_SHOWN_CHARACTERS = 60;
+    private static final String MISSING_KEY_MESSAGE = "Missing creator property";
 
     private final ObjectMapper mapper;
 
@@ -94,7 +95,8 @@
     }
 
     private static String firstLine(JsonProcessingException failure) {
-        return failure.getOriginalMessage().lines().findFirst().orElse("an unreadable value");
+        String line = failure.getOriginalMessage().lines().findFirst().orElse("an unreadable value");
+        return line.startsWith(MISSING_KEY_MESSAGE) ? "no such key" : line;
     }
 
     private static String nameOf(Class<?> type) {
