--- a/core/src/main/java/org/jasminehub/core/routing/EndpointState.java
+++ b/core/src/main/java/org/jasminehub/core/routing/EndpointState.java
@@ -13,6 +13,7 @@
  * @param sentSinceTokens tokens of work that this entry instance sent it since that report
  * @param outstandingRequests requests of this entry instance that it has not finished
  * @param prefixHitTokens how many of the prompt's tokens it probably still has in its prefix cache
+ * @param delayRatio how long first tokens took lately, relative to their estimates; 1 where nothing is known
  */
 public record EndpointState(
         EndpointId id,
@@ -21,4 +22,17 @@
         long loadAgeMillis,
         long sentSinceTokens,
         int outstandingRequests,
-        long prefixHitTokens) {}
+        long prefixHitTokens,
+        double delayRatio) {
+    /** Creates the state of an endpoint of whose delays nothing is known. */
+    public EndpointState(
+            EndpointId id,
+            FailureDomain failureDomain,
+            LoadReport load,
+            long loadAgeMillis,
+            long sentSinceTokens,
+            int outstandingRequests,
+            long prefixHitTokens) {
+        this(id, failureDomain, load, loadAgeMillis, sentSinceTokens, outstandingRequests, prefixHitTokens, 1);
+    }
+}
