Run each operation at most once at the home of its key

Cause: a payment or booking may reach several entry instances, and each may lose the answer, freeze or die, while the table that says which agent is responsible changes.

Ruled out: a claim on the log for each key (one append an operation, and none at all in an outage); a change of table without a pause, a handover that does not seal the old home, a revocation without a memory.

Change: HomeGuard (agent) grants tickets that expire by its own clock, starts a key once, remembers it for the window, revokes on request, holds a lease on its confirmed table, and as a new home takes over by handover or waits out a quarantine.

Not covered: an instance whose monotonic clock stands still while it is suspended, and callers who repeat a key of their own making after the window.

--- a/core/src/main/java/org/jasminehub/core/error/ErrorCode.java
+++ b/core/src/main/java/org/jasminehub/core/error/ErrorCode.java
@@ -60,6 +60,12 @@
     OUTCOME_UNKNOWN("outcome-unknown", 504),
     /** The operation's ticket is not valid at this incarnation of the agent. */
     TICKET_INVALID("ticket-invalid", 409),
+    /** The operation was revoked before it ran; its key stays revoked. */
+    OPERATION_REVOKED("operation-revoked", 409),
+    /** The service's answer to the operation was too large to keep for a repeat. */
+    RESULT_NOT_KEPT("result-not-kept", 504),
+    /** The key's home cannot rule out that another agent ran the operation. */
+    HOME_UNSETTLED("home-unsettled", 503),
     /** An order carried an old fencing number. */
     ORDER_FENCED("order-fenced", 409),
     /** A peer speaks another protocol version, or sent bytes that are no message. */
--- /dev/null
+++ b/core/src/main/java/org/jasminehub/core/operation/LedgerLimits.java
@@ -0,0 +1,24 @@
+package org.jasminehub.core.operation;
+
+import org.jasminehub.core.internal.Checks;
+
+/**
+ * How much an agent remembers of operations.
+ *
+ * @param maxOperations how many operations it remembers in full; a new one is refused when all are still needed
+ * @param maxRevocations how many further operations it can revoke when {@code maxOperations} is reached
+ * @param maxResultBytes the largest service answer that it keeps for a repeat
+ * @param maxExpired how many operations it remembers by name after their window, to refuse late repeats
+ */
+public record LedgerLimits(int maxOperations, int maxRevocations, int maxResultBytes, int maxExpired) {
+    /** Room for 20 operations a second with answers of a few hundred bytes, in about 32 MB. */
+    public static final LedgerLimits DEFAULT = new LedgerLimits(20_000, 5_000, 16_384, 50_000);
+
+    /** Creates checked limits. */
+    public LedgerLimits {
+        Checks.positive("maxOperations", maxOperations);
+        Checks.positive("maxRevocations", maxRevocations);
+        Checks.positive("maxResultBytes", maxResultBytes);
+        Checks.notNegative("maxExpired", maxExpired);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/jasminehub/core/operation/OperationLedger.java
@@ -0,0 +1,105 @@
+package org.jasminehub.core.operation;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+
+/**
+ * An agent's bounded memory of operations, oldest first.
+ *
+ * <p>A record is kept in full for the retention time and by name for as long as there is room. Not safe for use by
+ * several threads.
+ */
+final class OperationLedger {
+    private final LedgerLimits limits;
+    private final long retentionMillis;
+    private final Map<OperationId, OperationRecord> records = new LinkedHashMap<>();
+    private final Set<OperationId> expired = new LinkedHashSet<>();
+
+    OperationLedger(LedgerLimits limits, long retentionMillis) {
+        this.limits = limits;
+        this.retentionMillis = retentionMillis;
+    }
+
+    Optional<OperationRecord> find(OperationId id, long nowMillis) {
+        expire(nowMillis);
+        return Optional.ofNullable(records.get(id));
+    }
+
+    boolean isExpired(OperationId id) {
+        return expired.contains(id);
+    }
+
+    boolean hasRoomToRun() {
+        return records.size() < limits.maxOperations();
+    }
+
+    boolean hasRoomToRevoke() {
+        return records.size() < limits.maxOperations() + limits.maxRevocations();
+    }
+
+    void add(OperationRecord operation) {
+        records.put(operation.id(), operation);
+    }
+
+    /** Adds a record of another agent; the answer of a service goes before a doubt. */
+    void merge(OperationRecord operation) {
+        records.merge(
+                operation.id(), operation, (mine, theirs) -> theirs.state() == OperationState.DONE ? theirs : mine);
+    }
+
+    void finish(OperationId id, OperationResult result) {
+        boolean isKept = result.body().length <= limits.maxResultBytes();
+        records.computeIfPresent(id, (same, operation) -> operation.with(OperationState.DONE, isKept ? result : null));
+    }
+
+    void doubt(OperationId id) {
+        records.computeIfPresent(id, (same, operation) -> operation.with(OperationState.IN_DOUBT, null));
+    }
+
+    void revokeUnsent(OperationId id) {
+        records.computeIfPresent(id, (same, operation) -> operation.with(OperationState.REVOKED, null));
+    }
+
+    List<OperationRecord> matching(Predicate<OperationId> wanted, long nowMillis) {
+        expire(nowMillis);
+        List<OperationRecord> found = new ArrayList<>();
+        for (OperationRecord operation : records.values()) {
+            if (wanted.test(operation.id())) {
+                found.add(operation);
+            }
+        }
+        return found;
+    }
+
+    int size() {
+        return records.size();
+    }
+
+    private void expire(long nowMillis) {
+        Iterator<OperationRecord> oldestFirst = records.values().iterator();
+        while (oldestFirst.hasNext()) {
+            OperationRecord oldest = oldestFirst.next();
+            if (nowMillis - oldest.sinceMillis() <= retentionMillis) {
+                return;
+            }
+            oldestFirst.remove();
+            rememberName(oldest.id());
+        }
+    }
+
+    private void rememberName(OperationId id) {
+        expired.add(id);
+        if (expired.size() > limits.maxExpired()) {
+            Iterator<OperationId> oldest = expired.iterator();
+            oldest.next();
+            oldest.remove();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/jasminehub/core/operation/HomeGuardTest.java
@@ -0,0 +1,204 @@
+package org.jasminehub.core.operation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.util.List;
+import java.util.Objects;
+import org.jasminehub.core.error.ErrorCode;
+import org.jasminehub.core.error.Outcome;
+import org.jasminehub.core.identity.InstanceId;
+import org.jasminehub.core.identity.WorkspaceId;
+import org.jasminehub.core.time.ManualClock;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class HomeGuardTest {
+    private static final long LEASE_MILLIS = 300;
+    private static final OperationTimes TIMES = OperationTimes.of(1000, LEASE_MILLIS, 100, 50);
+    private static final OperationResult BOOKED = new OperationResult(201, "text/plain", new byte[] {'1'});
+
+    private final ManualClock clock = new ManualClock(0);
+    private final AgentIncarnation oldId = new AgentIncarnation(new InstanceId("old"), 1);
+    private final AgentIncarnation newId = new AgentIncarnation(new InstanceId("new"), 1);
+    private final HomeTable onlyOld = new HomeTable("bookings", 1, List.of(oldId));
+    private final HomeTable onlyNew = new HomeTable("bookings", 2, List.of(newId));
+    private final HomeGuard oldHome = guard(oldId, LedgerLimits.DEFAULT);
+    private final HomeGuard newHome = guard(newId, LedgerLimits.DEFAULT);
+
+    private HomeGuard guard(AgentIncarnation id, LedgerLimits limits) {
+        return new HomeGuard(id, "bookings", TIMES, limits, clock, event -> {});
+    }
+
+    private static OperationId key(String key) {
+        return new OperationId(new WorkspaceId("herd"), "bookings", key);
+    }
+
+    private void confirmOldHome() {
+        oldHome.learn(onlyOld);
+        oldHome.confirm(1, clock.monotonicMillis());
+    }
+
+    private void confirmNewHome() {
+        newHome.learn(onlyOld);
+        newHome.learn(onlyNew);
+        newHome.confirm(2, clock.monotonicMillis());
+    }
+
+    private static GuardDecision send(HomeGuard home, OperationId id, String body) {
+        GuardDecision decision = home.requestTicket(id, body);
+        return decision instanceof GuardDecision.TicketGranted granted ? home.start(granted.ticket(), body) : decision;
+    }
+
+    private static OperationAnswer answer(GuardDecision decision) {
+        return assertInstanceOf(GuardDecision.Answered.class, decision).answer();
+    }
+
+    @Nested
+    final class Repeats {
+        @Test
+        void testRepeatGetsTheFirstRunsResult() {
+            confirmOldHome();
+            assertInstanceOf(GuardDecision.RunNow.class, send(oldHome, key("k"), "body"));
+            assertInstanceOf(GuardDecision.AwaitRun.class, send(oldHome, key("k"), "body"));
+            oldHome.finish(key("k"), BOOKED);
+            assertEquals(BOOKED, answer(send(oldHome, key("k"), "body")).result());
+        }
+
+        @Test
+        void testSameKeyWithAnotherBodyIsRefused() {
+            confirmOldHome();
+            send(oldHome, key("k"), "body");
+            assertEquals(
+                    ErrorCode.IDEMPOTENCY_KEY_REUSED,
+                    answer(send(oldHome, key("k"), "other")).code());
+        }
+
+        @Test
+        void testRepeatAfterTheWindowIsRefusedAndNotGuessed() {
+            confirmOldHome();
+            send(oldHome, key("k"), "body");
+            oldHome.finish(key("k"), BOOKED);
+            clock.advanceMillis(TIMES.retentionMillis() + 1);
+            oldHome.confirm(1, clock.monotonicMillis());
+            OperationAnswer late = answer(send(oldHome, key("k"), "body"));
+            assertEquals(OperationAnswer.unknown(ErrorCode.IDEMPOTENCY_KEY_EXPIRED), late);
+        }
+
+        @Test
+        void testFullMemoryRefusesNewKeysAndForgetsNone() {
+            HomeGuard small = guard(oldId, new LedgerLimits(1, 1, 100, 1));
+            small.learn(onlyOld);
+            small.confirm(1, 0);
+            send(small, key("first"), "body");
+            assertEquals(OperationAnswer.notRun(ErrorCode.OVERLOADED), answer(send(small, key("second"), "body")));
+            assertEquals(OperationAnswer.unknown(ErrorCode.OVERLOADED), answer(send(small, key("third"), "body")));
+            assertInstanceOf(GuardDecision.AwaitRun.class, send(small, key("first"), "body"));
+        }
+    }
+
+    @Nested
+    final class Revocation {
+        @Test
+        void testRevokedKeyNeverStartsEvenWithATicketInHand() {
+            confirmOldHome();
+            var granted = assertInstanceOf(GuardDecision.TicketGranted.class, oldHome.requestTicket(key("k"), "body"));
+            assertEquals(Outcome.NOT_RUN, answer(oldHome.revoke(key("k"))).outcome());
+            assertEquals(
+                    Outcome.NOT_RUN,
+                    answer(oldHome.start(granted.ticket(), "body")).outcome());
+        }
+
+        @Test
+        void testRevocationOfARunningOperationIsUnknown() {
+            confirmOldHome();
+            send(oldHome, key("k"), "body");
+            assertEquals(Outcome.UNKNOWN, answer(oldHome.revoke(key("k"))).outcome());
+        }
+
+        @Test
+        void testRequestThatNeverLeftTheAgentIsNotRun() {
+            confirmOldHome();
+            send(oldHome, key("k"), "body");
+            oldHome.failUnsent(key("k"));
+            assertEquals(
+                    Outcome.NOT_RUN, answer(send(oldHome, key("k"), "body")).outcome());
+        }
+    }
+
+    @Nested
+    final class ChangeOfHome {
+        @Test
+        void testNewHomeLeavesAGoneHomesKeysAloneForTheQuarantine() {
+            confirmOldHome();
+            send(oldHome, key("k"), "body");
+            confirmNewHome();
+            assertEquals(
+                    ErrorCode.HOME_UNSETTLED,
+                    answer(send(newHome, key("k"), "body")).code());
+            clock.advanceMillis(TIMES.quarantineMillis());
+            newHome.confirm(2, clock.monotonicMillis());
+            assertInstanceOf(GuardDecision.RunNow.class, send(newHome, key("later"), "body"));
+        }
+
+        @Test
+        void testThawedHomeStartsNothingAfterItsLease() {
+            confirmOldHome();
+            var granted = assertInstanceOf(GuardDecision.TicketGranted.class, oldHome.requestTicket(key("k"), "body"));
+            clock.advanceMillis(LEASE_MILLIS);
+            assertEquals(
+                    Outcome.UNKNOWN,
+                    answer(oldHome.start(granted.ticket(), "body")).outcome());
+            assertEquals(Outcome.UNKNOWN, answer(oldHome.revoke(key("k"))).outcome());
+        }
+
+        @Test
+        void testHandoverSettlesKeysAtOnceAndSealsTheOldHome() {
+            confirmOldHome();
+            send(oldHome, key("done"), "body");
+            oldHome.finish(key("done"), BOOKED);
+            send(oldHome, key("running"), "body");
+            confirmNewHome();
+            newHome.receive(Objects.requireNonNull(oldHome.handOver(onlyNew, newId)));
+            assertEquals(BOOKED, answer(send(newHome, key("done"), "body")).result());
+            assertEquals(
+                    Outcome.UNKNOWN,
+                    answer(send(newHome, key("running"), "body")).outcome());
+            assertInstanceOf(GuardDecision.RunNow.class, send(newHome, key("fresh"), "body"));
+            assertInstanceOf(GuardDecision.WrongHome.class, send(oldHome, key("fresh"), "body"));
+        }
+
+        @Test
+        void testHandoverForAnOlderTableIsNotGiven() {
+            oldHome.learn(onlyOld);
+            oldHome.learn(onlyNew);
+            assertNull(oldHome.handOver(onlyOld, newId));
+        }
+    }
+
+    @Nested
+    final class BoundKeys {
+        @Test
+        void testBoundKeyRunsWithoutTableOrLease() {
+            OperationId id = key(oldHome.issueKey().text());
+            assertInstanceOf(GuardDecision.RunNow.class, send(oldHome, id, "body"));
+        }
+
+        @Test
+        void testBoundKeyNeverRunsAtAnotherIncarnation() {
+            OperationId id = key(oldHome.issueKey().text());
+            HomeGuard restarted = guard(new AgentIncarnation(new InstanceId("old"), 2), LedgerLimits.DEFAULT);
+            assertEquals(Outcome.UNKNOWN, answer(send(restarted, id, "body")).outcome());
+        }
+
+        @Test
+        void testOldBoundKeyIsRefused() {
+            OperationId id = key(oldHome.issueKey().text());
+            clock.advanceMillis(TIMES.windowMillis() + 1);
+            assertEquals(OperationAnswer.notRun(ErrorCode.IDEMPOTENCY_KEY_EXPIRED), answer(send(oldHome, id, "body")));
+            clock.advanceMillis(TIMES.retentionMillis());
+            assertEquals(Outcome.UNKNOWN, answer(send(oldHome, id, "body")).outcome());
+        }
+    }
+}
