--- /dev/null
+++ b/core/src/test/java/org/jasminehub/core/answer/FreshReadPolicyTest.java
@@ -0,0 +1,37 @@
+package org.jasminehub.core.answer;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.jasminehub.core.document.RouteKind;
+import org.jasminehub.core.identity.EndpointId;
+import org.jasminehub.core.membership.MemberState;
+import org.jasminehub.core.time.ManualClock;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+
+final class FreshReadPolicyTest {
+    private final ManualClock clock = new ManualClock(10_000);
+    private final FreshReadPolicy policy = new FreshReadPolicy(2_000, 200, clock);
+
+    private boolean isCertain(long heard, MemberState own, @Nullable MemberState listed, long leaseUntil) {
+        return policy.isCertain(new EndpointStanding(new EndpointId("metrics-1"), heard, own, listed, leaseUntil));
+    }
+
+    @Test
+    void testEveryDoubtLeavesTheEndpointOut() {
+        assertTrue(isCertain(9_000, MemberState.LIVE, MemberState.LIVE, 20_000));
+        assertFalse(isCertain(7_999, MemberState.LIVE, MemberState.LIVE, 20_000));
+        assertFalse(isCertain(9_000, MemberState.LEAVING, MemberState.LIVE, 20_000));
+        assertFalse(isCertain(9_000, MemberState.LIVE, MemberState.LEAVING, 20_000));
+        assertFalse(isCertain(9_000, MemberState.LIVE, null, 20_000));
+        assertFalse(isCertain(9_000, MemberState.LIVE, MemberState.LIVE, 10_200));
+    }
+
+    @Test
+    void testFreshReadIsNeverSharedOrHedged() {
+        DeliveryRule rule = DeliveryRule.of(RouteKind.FRESH_READ);
+        assertFalse(rule.mayShare() || rule.mayHedge() || rule.mayResume());
+        assertTrue(rule.needsCertainEndpoint());
+    }
+}
