Decide how far a planned stop has got

Cause: an entry instance that stops must serve callers who still hold its address, and an agent must not leave operation keys without a home.

Before and after: EntryDrainTest stops seven instances in turn under callers with old addresses, 200 seeds: no refusal, no cut. The same check fails for a stop that ignores the time to live and for a bound shorter than the streams.

Conclusion: decided and tested; not yet wired to a process.

--- /dev/null
+++ b/core/src/test/java/org/jasminehub/core/drain/EntryDrainTest.java
@@ -0,0 +1,94 @@
+package org.jasminehub.core.drain;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.jasminehub.core.event.Event;
+import org.jasminehub.core.time.ManualClock;
+import org.junit.jupiter.api.Test;
+
+final class EntryDrainTest {
+    private static final int LIST_LAG_MILLIS = 50;
+    private static final int TTL_MILLIS = 300;
+    private static final int MAX_DRAIN_MILLIS = 2_000;
+
+    private final ManualClock clock = new ManualClock(0);
+    private final List<Event> events = new ArrayList<>();
+
+    /** Stops seven instances one after the other under callers that keep addresses and streams of any length. */
+    private int countFailures(Random random, EntryDrainPolicy policy) {
+        int instanceCount = 7;
+        long[][] streamEnds = new long[instanceCount][20];
+        int failures = 0;
+        for (int leaving = 0; leaving < instanceCount; leaving++) {
+            int index = leaving;
+            EntryDrain drain =
+                    new EntryDrain("entry-" + leaving, policy, () -> open(streamEnds[index]), clock, events::add);
+            long startedMillis = clock.monotonicMillis();
+            while (drain.advance() != DrainPhase.STOPPED) {
+                clock.advanceMillis(1 + random.nextInt(20));
+                long askedMillis = clock.monotonicMillis() - random.nextInt(TTL_MILLIS + 1);
+                boolean isStillNamed = askedMillis <= startedMillis + random.nextInt(LIST_LAG_MILLIS + 1);
+                if (isStillNamed) {
+                    drain.advance();
+                    failures += drain.takesRequests() ? 0 : 1;
+                    streamEnds[index][random.nextInt(20)] = clock.monotonicMillis() + random.nextInt(900);
+                }
+            }
+            failures += open(streamEnds[index]);
+        }
+        return failures;
+    }
+
+    private int open(long[] streamEnds) {
+        int count = 0;
+        for (long endMillis : streamEnds) {
+            count += endMillis > clock.monotonicMillis() ? 1 : 0;
+        }
+        return count;
+    }
+
+    @Test
+    void testNoCallerIsRefusedOrCutWhileAllStopInTurn() {
+        EntryDrainPolicy policy = new EntryDrainPolicy(LIST_LAG_MILLIS, TTL_MILLIS, MAX_DRAIN_MILLIS);
+        for (int seed = 0; seed < 200; seed++) {
+            assertEquals(0, countFailures(new Random(seed), policy));
+        }
+    }
+
+    @Test
+    void testCheckFindsAStopThatIgnoresTheTimeToLive() {
+        EntryDrainPolicy hasty = new EntryDrainPolicy(0, 0, MAX_DRAIN_MILLIS);
+        assertTrue(countFailures(new Random(0), hasty) > 0);
+    }
+
+    @Test
+    void testCheckFindsABoundThatIsTooShort() {
+        EntryDrainPolicy shortBound = new EntryDrainPolicy(LIST_LAG_MILLIS, TTL_MILLIS, TTL_MILLIS + 100);
+        assertTrue(countFailures(new Random(0), shortBound) > 0);
+    }
+
+    @Test
+    void testBoundIsKeptAndWhatRemainedIsReported() {
+        EntryDrainPolicy policy = new EntryDrainPolicy(LIST_LAG_MILLIS, TTL_MILLIS, MAX_DRAIN_MILLIS);
+        EntryDrain drain = new EntryDrain("entry-1", policy, () -> 3, clock, events::add);
+        clock.advanceMillis(MAX_DRAIN_MILLIS);
+        assertEquals(DrainPhase.STOPPED, drain.advance());
+        assertEquals(new DrainReport("entry-1", MAX_DRAIN_MILLIS, 3, true), events.get(events.size() - 1));
+        assertEquals(
+                DrainEventKind.DRAIN_CUT_SHORT, events.get(events.size() - 1).kind());
+    }
+
+    @Test
+    void testAgentTakesItsOwnKeysUntilTheyHaveANewHome() {
+        AgentDrainPolicy policy = new AgentDrainPolicy(3_000, 60_000);
+        assertEquals(DrainPhase.ANNOUNCED, policy.phase(3_000, 0, true));
+        assertEquals(DrainPhase.FINISHING, policy.phase(3_001, 0, false));
+        assertEquals(DrainPhase.STOPPED, policy.phase(3_001, 0, true));
+        assertEquals(DrainPhase.STOPPED, policy.phase(60_000, 9, false));
+        assertTrue(policy.takes(DrainPhase.FINISHING, true) && !policy.takes(DrainPhase.FINISHING, false));
+    }
+}
