--- a/core/src/main/java/org/jasminehub/core/membership/HeartbeatRing.java
+++ b/core/src/main/java/org/jasminehub/core/membership/HeartbeatRing.java
@@ -2,18 +2,19 @@
 
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.jasminehub.core.identity.InstanceId;
 import org.jasminehub.core.internal.Checks;
 
 /**
  * Chooses which peers an instance sends heartbeats to.
  *
- * <p>Instances stand on a ring in the order of a hash of their names; each watches its next few. So each is also watched
- * by as many, neighbours lie in unrelated failure domains, and neither state nor traffic grows with the size of the
- * system.
+ * <p>Instances stand on a ring in the order of a hash of their names; each watches a few others at distances that grow
+ * geometrically. So each is also watched by as many, news crosses the ring in a number of hops that grows with the
+ * logarithm of its size, and neither state nor traffic grows with the size of the system.
  *
  * <p>Immutable.
  */
@@ -35,11 +36,22 @@
                 .toList();
         int next =
                 (int) others.stream().filter(place -> place.compareTo(own) < 0).count();
-        List<InstanceId> watched = new ArrayList<>();
-        for (int i = 0; i < Math.min(watchCount, others.size()); i++) {
-            watched.add(others.get((next + i) % others.size()).id());
+        return distances(others.size())
+                .mapToObj(distance ->
+                        others.get((next + distance - 1) % others.size()).id())
+                .toList();
+    }
+
+    /** Returns different distances from 1 to {@code otherCount}, each about as many times the one before. */
+    private IntStream distances(int otherCount) {
+        double factor = Math.pow(otherCount + 1.0, 1.0 / watchCount);
+        int[] distances = new int[Math.min(watchCount, otherCount)];
+        for (int i = 0; i < distances.length; i++) {
+            int wanted = (int) Math.round(Math.pow(factor, i));
+            int lowest = i == 0 ? 1 : distances[i - 1] + 1;
+            distances[i] = Math.min(Math.max(wanted, lowest), otherCount - distances.length + i + 1);
         }
-        return watched;
+        return Arrays.stream(distances);
     }
 
     private record Place(long hash, InstanceId id) implements Comparable<Place> {
--- a/core/src/test/java/org/jasminehub/core/membership/HeartbeatRingTest.java
+++ b/core/src/test/java/org/jasminehub/core/membership/HeartbeatRingTest.java
@@ -4,8 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -31,6 +33,21 @@
         assertTrue(watchers.values().stream().allMatch(count -> count == 6));
     }
 
+    @Test
+    void testNewsReachesAllInLogarithmicallyManyHops() {
+        List<InstanceId> all = ids(500);
+        Map<InstanceId, List<InstanceId>> watched =
+                all.stream().collect(Collectors.toMap(Function.identity(), id -> ring.watchedBy(id, all)));
+        Set<InstanceId> reached = new HashSet<>(Set.of(all.get(0)));
+        int hops = 0;
+        while (reached.size() < all.size()) {
+            reached.addAll(
+                    reached.stream().flatMap(id -> watched.get(id).stream()).toList());
+            hops++;
+        }
+        assertTrue(hops <= 2 * Math.ceil(Math.log(all.size()) / Math.log(2)), "hops: " + hops);
+    }
+
     @Test
     void testFewInstancesWatchAllOthersOnce() {
         List<InstanceId> all = ids(4);
--- a/entry/src/main/java/org/jasminehub/entry/EntryInstance.java
+++ b/entry/src/main/java/org/jasminehub/entry/EntryInstance.java
@@ -6,13 +6,15 @@
 import org.jasminehub.core.address.AddressPolicy;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.FailureDomain;
+import org.jasminehub.core.identity.InstanceId;
 import org.jasminehub.core.identity.RequestId;
 import org.jasminehub.core.routing.RoundRobinPolicy;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.entry.control.ControlState;
 import org.jasminehub.entry.control.ControlThread;
 import org.jasminehub.entry.control.DocumentController;
-import org.jasminehub.entry.control.MembershipController;
+import org.jasminehub.entry.control.members.MembershipController;
+import org.jasminehub.entry.control.members.PeerLinks;
 import org.jasminehub.entry.endpoint.EndpointDirectory;
 import org.jasminehub.entry.filter.RequestFilter;
 import org.jasminehub.entry.filter.RequestHandler;
@@ -42,11 +44,14 @@
 public final class EntryInstance implements AutoCloseable {
     private static final int ADDRESSES_PER_WORKSPACE = 3;
     private static final int PLATFORM_TIMEOUT_MILLIS = 3_000;
+    private static final long HEARTBEAT_INTERVAL_MILLIS = 2_000;
     private static final long LOG_RETRY_INTERVAL_MILLIS = 250;
 
     private final EntrySettings settings;
     private final long incarnation;
     private final ControlThread control = new ControlThread();
+    private final MembershipController membership;
+    private final PeerLinks peers;
     private final EndpointDirectory directory;
     private final WireServer wireServer;
     private final CallerServer callerServer;
@@ -61,7 +66,9 @@
             EventSink events) {
         this.settings = settings;
         this.incarnation = clock.wallMillis();
-        this.directory = new EndpointDirectory(group, this::hello, clock);
+        this.peers = new PeerLinks(group, this::hello);
+        this.membership = newMembership(system, clock, events);
+        this.directory = new EndpointDirectory(group, this::hello, clock, membership);
         this.wireServer = WireServer.start(
                 group,
                 settings.host(),
@@ -117,25 +124,41 @@
         callerServer.close();
         wireServer.close();
         directory.close();
+        peers.close();
     }
 
     private void startControllers(ActorSystem<?> system) {
-        MembershipController membership = new MembershipController(
-                control,
-                new HttpInstanceListService(system, settings.instanceList(), PLATFORM_TIMEOUT_MILLIS),
-                directory::update);
         DocumentController documents =
                 new DocumentController(control, new HttpLogService(system, settings.log(), PLATFORM_TIMEOUT_MILLIS));
         control.repeat(membership::refresh, settings.listIntervalMillis());
+        control.repeat(membership::beat, HEARTBEAT_INTERVAL_MILLIS);
         control.repeat(documents::refresh, LOG_RETRY_INTERVAL_MILLIS);
     }
 
+    private MembershipController newMembership(ActorSystem<?> system, Clock clock, EventSink events) {
+        return new MembershipController(
+                new InstanceId(settings.instance()),
+                control,
+                new HttpInstanceListService(system, settings.instanceList(), PLATFORM_TIMEOUT_MILLIS),
+                peers,
+                domain -> 0,
+                agents -> directory().update(agents),
+                () -> wireServer().broadcastHello(),
+                clock,
+                events);
+    }
+
+    private WireServer wireServer() {
+        return wireServer;
+    }
+
     private Hello hello() {
         return Hello.newBuilder()
                 .setProtocolVersion(WireProtocol.VERSION)
                 .setInstance(settings.instance())
                 .setIncarnation(incarnation)
                 .setFailureDomain(settings.failureDomain())
+                .addAllMembers(membership.reports())
                 .build();
     }
 }
--- a/entry/src/main/java/org/jasminehub/entry/endpoint/EndpointDirectory.java
+++ b/entry/src/main/java/org/jasminehub/entry/endpoint/EndpointDirectory.java
@@ -24,16 +24,21 @@
     private final WireGroup group;
     private final Supplier<Hello> hello;
     private final Clock clock;
+    private final LinkObserver observer;
     private final Map<EndpointId, EndpointLink> links = new ConcurrentHashMap<>();
 
     /** Creates a directory without connections; {@code hello} says who this process is. */
-    public EndpointDirectory(WireGroup group, Supplier<Hello> hello, Clock clock) {
+    public EndpointDirectory(WireGroup group, Supplier<Hello> hello, Clock clock, LinkObserver observer) {
         this.group = group;
         this.hello = hello;
         this.clock = clock;
+        this.observer = observer;
     }
 
-    /** Opens connections to agents that are new in {@code members} and closes those of agents that are gone. */
+    /**
+     * Opens connections to agents that are new in {@code members}. Those of agents that are gone take no new work and are
+     * closed once their calls have ended.
+     */
     public void update(List<Member> members) {
         Map<EndpointId, Member> agents = new HashMap<>();
         for (Member member : members) {
@@ -42,9 +47,9 @@
             }
         }
         agents.forEach((id, member) -> linkOf(id, member).update(member));
-        for (EndpointId id : List.copyOf(links.keySet())) {
-            if (!agents.containsKey(id)) {
-                links.remove(id).close();
+        for (EndpointLink link : links.values()) {
+            if (!agents.containsKey(link.id())) {
+                retire(link);
             }
         }
     }
@@ -70,12 +75,20 @@
         links.values().forEach(EndpointLink::close);
     }
 
+    private void retire(EndpointLink link) {
+        link.retire();
+        if (link.isIdle()) {
+            links.remove(link.id());
+            link.close();
+        }
+    }
+
     private EndpointLink linkOf(EndpointId id, Member member) {
         EndpointLink known = links.get(id);
         if (known != null && hasSameAddress(known.member(), member)) {
             return known;
         }
-        EndpointLink link = new EndpointLink(member, group, hello, clock);
+        EndpointLink link = new EndpointLink(member, group, hello, clock, observer);
         EndpointLink replaced = links.put(id, link);
         if (replaced != null) {
             replaced.close();
--- a/entry/src/main/java/org/jasminehub/entry/endpoint/EndpointLink.java
+++ b/entry/src/main/java/org/jasminehub/entry/endpoint/EndpointLink.java
@@ -5,6 +5,7 @@
 import java.util.function.Supplier;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.membership.Member;
+import org.jasminehub.core.membership.MemberState;
 import org.jasminehub.core.routing.EndpointState;
 import org.jasminehub.core.routing.LoadReport;
 import org.jasminehub.core.time.Clock;
@@ -21,6 +22,7 @@
 public final class EndpointLink implements AutoCloseable {
     private final EndpointId id;
     private final Clock clock;
+    private final LinkObserver observer;
     private final WireClient client;
     private final AtomicInteger outstanding = new AtomicInteger();
     private final AtomicLong sentSinceTokens = new AtomicLong();
@@ -30,10 +32,11 @@
     private volatile Hello peer = Hello.getDefaultInstance();
     private volatile boolean connected;
 
-    EndpointLink(Member member, WireGroup group, Supplier<Hello> hello, Clock clock) {
+    EndpointLink(Member member, WireGroup group, Supplier<Hello> hello, Clock clock, LinkObserver observer) {
         this.id = new EndpointId(member.id().value());
         this.member = member;
         this.clock = clock;
+        this.observer = observer;
         this.client = new WireClient(group, member.host(), member.wirePort(), hello, new Listener());
     }
 
@@ -96,11 +99,21 @@
         client.connect();
     }
 
+    /** Takes no new work from now on, unless the agent is seen again. */
+    void retire() {
+        member = member.withState(MemberState.LEAVING);
+    }
+
+    boolean isIdle() {
+        return outstanding.get() == 0;
+    }
+
     private final class Listener implements PeerListener {
         @Override
         public void onHello(Hello hello) {
             peer = hello;
             connected = true;
+            observer.onHeard(hello);
         }
 
         @Override
@@ -114,11 +127,13 @@
                     report.getAccepting());
             reportedAtMillis = clock.monotonicMillis() - report.getAgeMillis();
             sentSinceTokens.set(0);
+            observer.onHeard(peer);
         }
 
         @Override
         public void onDisconnected() {
             connected = false;
+            observer.onBroken(member.id());
         }
     }
 }
