--- a/core/src/main/java/org/jasminehub/core/document/DocumentYamlAdapter.java
+++ b/core/src/main/java/org/jasminehub/core/document/DocumentYamlAdapter.java
@@ -15,6 +15,9 @@
  * <p>Safe for use by several threads.
  */
 public final class DocumentYamlAdapter {
+    /** The longest text that is read. */
+    public static final int MAX_CHARACTERS = 256 * 1024;
+
     private final StrictYamlReader reader = new StrictYamlReader();
 
     /**
@@ -23,6 +26,10 @@
      * @throws DocumentException if the text does not pass the schema
      */
     public TeamDocument read(String text) {
+        if (text.length() > MAX_CHARACTERS) {
+            throw new DocumentException(
+                    "(root)", text.length() + " characters", "at most " + MAX_CHARACTERS + " characters");
+        }
         try {
             return reader.read(text, TeamDocument.class);
         } catch (YamlException e) {
