Let peers' records fill the place of dropped ones

Cause: an instance that missed records took a peer's state only, although the peer may still hold the very records; and a peer's reply did not say whether the peer knows the log's end.

Ruled out: a second message for what the peer knows (twice the messages).

Before and after: an instance with a gap stayed incomplete when shown the missing records (the new test was written with the change; its failure without it was not run); now it is complete. The property on growing versions also ends with all records and compares the whole state.

Conclusion: peers mend each other by records first and by state where they must.

--- a/core/src/main/java/org/jasminehub/core/history/CurrencyTracker.java
+++ b/core/src/main/java/org/jasminehub/core/history/CurrencyTracker.java
@@ -34,6 +34,11 @@
         agreedMillis = Math.max(agreedMillis, monotonicMillis);
     }
 
+    /** Returns how long before {@code nowMillis} the log's end was known, or a negative value if it never was. */
+    public long evidenceAgeMillis(long nowMillis) {
+        return caughtUpMillis == NEVER ? -1 : nowMillis - caughtUpMillis;
+    }
+
     /** Returns what is known at {@code nowMillis}; {@code complete} tells whether the replay missed no record. */
     public Currency currency(boolean complete, long nowMillis) {
         if (!complete) {
--- a/core/src/main/java/org/jasminehub/core/history/HistoryReplay.java
+++ b/core/src/main/java/org/jasminehub/core/history/HistoryReplay.java
@@ -60,16 +60,24 @@
     public List<HistoryEvent> applyLogPage(long firstOffset, List<OffsetRecord> records) {
         List<HistoryEvent> events = new ArrayList<>();
         noteFirstOffset(firstOffset, events);
-        records.forEach(record -> apply(record, events));
+        for (OffsetRecord record : records) {
+            if (complete) {
+                applyNext(record, events);
+            } else {
+                scanNext(record, events);
+            }
+        }
         return events;
     }
 
-    /** Takes records that a peer has read from the log; ones already known are skipped. */
+    /**
+     * Takes records that a peer has read from the log; ones already known are skipped. They may fill the place of
+     * records that the log dropped.
+     */
     public List<HistoryEvent> applyPeerRecords(List<OffsetRecord> records) {
         List<HistoryEvent> events = new ArrayList<>();
-        if (complete) {
-            records.forEach(record -> apply(record, events));
-        }
+        records.forEach(record -> applyNext(record, events));
+        complete = complete || state.completeTo() >= scanStart;
         return events;
     }
 
@@ -101,20 +109,32 @@
         scanNext = firstOffset;
     }
 
-    private void apply(OffsetRecord record, List<HistoryEvent> events) {
-        if (record.offset() != nextOffset()) {
+    /** Decides on a record that follows the state. */
+    private void applyNext(OffsetRecord record, List<HistoryEvent> events) {
+        if (record.offset() != state.completeTo()) {
             return;
         }
         DecodedRecord decoded = codec.decode(record.payload());
-        if (complete) {
-            decide(record.offset(), decoded, events);
-            state = state.withCompleteTo(record.offset() + 1);
-        } else {
-            scanNext = record.offset() + 1;
+        decide(record.offset(), decoded, events);
+        state = state.withCompleteTo(record.offset() + 1);
+        wholeSnapshot(decoded).ifPresent(snapshot -> compare(record.offset(), snapshot, events));
+    }
+
+    /** Reads a record that does not follow the state, for the snapshot that it may complete. */
+    private void scanNext(OffsetRecord record, List<HistoryEvent> events) {
+        if (record.offset() != scanNext) {
+            return;
         }
+        scanNext = record.offset() + 1;
+        wholeSnapshot(codec.decode(record.payload()))
+                .ifPresent(snapshot -> installFromLog(record.offset(), snapshot, events));
+    }
+
+    private Optional<SnapshotRecord> wholeSnapshot(DecodedRecord decoded) {
         if (decoded instanceof DecodedRecord.Readable readable && readable.record() instanceof SnapshotRecord part) {
-            assembler.add(part).ifPresent(documents -> takeSnapshot(record.offset(), part, documents, events));
+            return assembler.add(part);
         }
+        return Optional.empty();
     }
 
     private void decide(long offset, DecodedRecord decoded, List<HistoryEvent> events) {
@@ -165,30 +185,27 @@
         return new HistoryEvent.DocumentAccepted(entry);
     }
 
-    private void takeSnapshot(
-            long offset, SnapshotRecord part, List<AcceptedDocument> documents, List<HistoryEvent> events) {
-        if (part.completeTo() > offset) {
-            events.add(refuse(part, "it claims records that came after it"));
+    private void compare(long offset, SnapshotRecord snapshot, List<HistoryEvent> events) {
+        events.add(seen(offset, snapshot));
+        firstUnknown(snapshot.documents())
+                .ifPresent(unknown -> events.add(
+                        refuse(snapshot, "it holds version " + unknown.version() + " of team " + unknown.team())));
+    }
+
+    private void installFromLog(long offset, SnapshotRecord snapshot, List<HistoryEvent> events) {
+        events.add(seen(offset, snapshot));
+        if (snapshot.completeTo() > offset) {
+            events.add(refuse(snapshot, "it claims records that came after it"));
             return;
         }
-        events.add(new HistoryEvent.SnapshotSeen(part.completeTo(), offset, part.writer(), part.wallMillis()));
-        if (complete) {
-            firstUnknown(documents)
-                    .ifPresent(known -> events.add(
-                            refuse(part, "it holds version " + known.version() + " of team " + known.team())));
+        if (snapshot.completeTo() < scanStart) {
             return;
         }
-        if (part.completeTo() >= scanStart) {
-            installFromLog(part, documents, events);
-        }
-    }
-
-    private void installFromLog(SnapshotRecord part, List<AcceptedDocument> documents, List<HistoryEvent> events) {
         try {
-            HistoryState offered = states.create(part.completeTo(), part.head(), documents);
-            events.addAll(install(offered, part.writer()));
+            HistoryState offered = states.create(snapshot.completeTo(), snapshot.head(), snapshot.documents());
+            events.addAll(install(offered, snapshot.writer()));
         } catch (DocumentException e) {
-            events.add(refuse(part, String.valueOf(e.getMessage())));
+            events.add(refuse(snapshot, String.valueOf(e.getMessage())));
         }
     }
 
@@ -198,6 +215,10 @@
                 .findFirst();
     }
 
+    private static HistoryEvent seen(long offset, SnapshotRecord snapshot) {
+        return new HistoryEvent.SnapshotSeen(snapshot.completeTo(), offset, snapshot.writer(), snapshot.wallMillis());
+    }
+
     private static HistoryEvent refuse(SnapshotRecord part, String cause) {
         return new HistoryEvent.SnapshotRefused(part.completeTo(), part.writer(), cause);
     }
--- a/core/src/main/java/org/jasminehub/core/history/SnapshotAssembler.java
+++ b/core/src/main/java/org/jasminehub/core/history/SnapshotAssembler.java
@@ -13,8 +13,8 @@
 
     private final Map<String, TreeMap<Integer, SnapshotRecord>> partsByRound = new LinkedHashMap<>();
 
-    /** Takes one part and returns all documents of its snapshot once no part is missing. */
-    Optional<List<AcceptedDocument>> add(SnapshotRecord part) {
+    /** Takes one part and returns its snapshot as a single part once no part is missing. */
+    Optional<SnapshotRecord> add(SnapshotRecord part) {
         TreeMap<Integer, SnapshotRecord> parts = partsByRound.computeIfAbsent(part.round(), round -> new TreeMap<>());
         if (parts.isEmpty() || belongTogether(parts.firstEntry().getValue(), part)) {
             parts.putIfAbsent(part.part(), part);
@@ -26,7 +26,8 @@
         partsByRound.remove(part.round());
         List<AcceptedDocument> documents = new ArrayList<>();
         parts.values().forEach(each -> documents.addAll(each.documents()));
-        return Optional.of(documents);
+        return Optional.of(new SnapshotRecord(
+                part.round(), part.writer(), part.wallMillis(), part.completeTo(), part.head(), 0, 1, documents));
     }
 
     private static boolean belongTogether(SnapshotRecord one, SnapshotRecord other) {
--- a/core/src/test/java/org/jasminehub/core/history/HistoryFixtures.java
+++ b/core/src/test/java/org/jasminehub/core/history/HistoryFixtures.java
@@ -1,8 +1,11 @@
 package org.jasminehub.core.history;
 
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.jasminehub.core.document.DocumentYamlAdapter;
 import org.jasminehub.core.identity.FailureDomain;
 import org.jasminehub.core.identity.InstanceId;
@@ -16,6 +19,8 @@
     static final String INVALID_DOCUMENT = "schemaVersion: 1\nteam: drafts\nworkspaces: []\n";
     static final int PAGE_RECORDS = 3;
 
+    private static final int MAX_PAGES = 1_000;
+
     private HistoryFixtures() {}
 
     static String document(String team, int skewWeight) {
@@ -90,6 +95,13 @@
             return records;
         }
 
+        /** Returns every record ever appended, dropped or not. */
+        List<OffsetRecord> allRecords() {
+            return IntStream.range(0, payloads.size())
+                    .mapToObj(at -> new OffsetRecord(at, payloads.get(at)))
+                    .toList();
+        }
+
         /** Lets {@code replay} read one page and returns what it decided. */
         List<HistoryEvent> readPage(HistoryReplay replay, int pageRecords) {
             return replay.applyLogPage(firstOffset, records(replay.nextOffset(), pageRecords));
@@ -98,7 +110,8 @@
         /** Lets {@code replay} read to the end and returns all that it decided. */
         List<HistoryEvent> readAll(HistoryReplay replay) {
             List<HistoryEvent> events = new ArrayList<>(readPage(replay, PAGE_RECORDS));
-            while (replay.nextOffset() < nextOffset()) {
+            for (int pages = 0; replay.nextOffset() < nextOffset(); pages++) {
+                assertTrue(pages < MAX_PAGES, "the replay makes no headway");
                 events.addAll(readPage(replay, PAGE_RECORDS));
             }
             return events;
@@ -107,9 +120,7 @@
         /** Returns a replay of every record ever appended, dropped or not. */
         HistoryReplay replayAllFromStart() {
             HistoryReplay replay = newReplay();
-            for (int at = 0; at < payloads.size(); at++) {
-                replay.applyLogPage(0, List.of(new OffsetRecord(at, payloads.get(at))));
-            }
+            replay.applyLogPage(0, allRecords());
             return replay;
         }
 
--- a/core/src/test/java/org/jasminehub/core/history/HistoryReplayPropertyTest.java
+++ b/core/src/test/java/org/jasminehub/core/history/HistoryReplayPropertyTest.java
@@ -144,6 +144,9 @@
                 seen.put(team, version);
             }
         }
+        replay.applyPeerRecords(history.log.allRecords());
+        history.assertMatches(replay);
+        assertTrue(replay.isComplete());
     }
 
     private static void disturb(History history, HistoryReplay replay, Random random) {
--- a/core/src/test/java/org/jasminehub/core/history/HistoryReplayTest.java
+++ b/core/src/test/java/org/jasminehub/core/history/HistoryReplayTest.java
@@ -258,6 +258,22 @@
             assertEquals(0, version(replay, "drafts"));
         }
 
+        @Test
+        void testPeersRecordsFillThePlaceOfDroppedOnes() {
+            long first = log.append(publish("drafts", NO_VERSION, "a"));
+            log.readAll(replay);
+            long second = log.append(publish("drafts", first, "b"));
+            long third = log.append(publish("drafts", second, "c"));
+            List<OffsetRecord> held = log.records(second, 1);
+            log.dropBelow(third);
+            log.readAll(replay);
+            assertFalse(replay.isComplete());
+            replay.applyPeerRecords(held);
+            assertTrue(replay.isComplete());
+            log.readAll(replay);
+            assertEquals(third, version(replay, "drafts"));
+        }
+
         @Test
         void testReaderAfterTruncationStartsFromAPeersState() {
             long first = log.append(publish("drafts", NO_VERSION, "a"));
