--- /dev/null
+++ b/core/src/main/java/org/jasminehub/core/limit/TokenBucket.java
@@ -0,0 +1,52 @@
+package org.jasminehub.core.limit;
+
+/**
+ * Lets units through at a rate, with one second's worth of them at once.
+ *
+ * <p>A request larger than that passes when the bucket is full and leaves it in debt, so that the rate holds over time.
+ * Not safe for use by several threads.
+ */
+final class TokenBucket {
+    private static final double MILLIS_PER_SECOND = 1000;
+
+    private double ratePerSecond;
+    private double available;
+    private long refilledMillis;
+
+    TokenBucket(double ratePerSecond, long nowMillis) {
+        this.ratePerSecond = ratePerSecond;
+        this.available = ratePerSecond;
+        this.refilledMillis = nowMillis;
+    }
+
+    void setRate(double newRatePerSecond, long nowMillis) {
+        refill(nowMillis);
+        ratePerSecond = newRatePerSecond;
+        available = Math.min(available, ratePerSecond);
+    }
+
+    /** Returns how long until {@code units} may pass, 0 where they may pass now. */
+    long waitMillis(double units, long nowMillis) {
+        refill(nowMillis);
+        double missing = Math.min(units, ratePerSecond) - available;
+        if (missing <= 0 && ratePerSecond > 0) {
+            return 0;
+        }
+        double rate = Math.max(ratePerSecond, Double.MIN_NORMAL);
+        return (long) Math.min(Integer.MAX_VALUE, Math.max(1, Math.ceil(missing * MILLIS_PER_SECOND / rate)));
+    }
+
+    void take(double units) {
+        available -= units;
+    }
+
+    void giveBack(double units) {
+        available = Math.min(ratePerSecond, available + units);
+    }
+
+    private void refill(long nowMillis) {
+        double added = (nowMillis - refilledMillis) / MILLIS_PER_SECOND * ratePerSecond;
+        available = Math.min(ratePerSecond, available + added);
+        refilledMillis = nowMillis;
+    }
+}
