--- a/app/src/main/java/org/jasminehub/app/demo/Demo.java
+++ b/app/src/main/java/org/jasminehub/app/demo/Demo.java
@@ -1,11 +1,7 @@
 package org.jasminehub.app.demo;
 
-import java.io.IOException;
-import java.io.InputStream;
-import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Objects;
 import java.util.UUID;
 import java.util.concurrent.locks.LockSupport;
 import org.jasminehub.agent.Agent;
@@ -60,7 +56,7 @@
         this.log = new LogStandin(runtime.system(), 0);
         this.list = new InstanceListStandin(runtime.system(), 0);
         this.bookings = new BookingStandin(runtime.system(), 0);
-        log.append(readDocument());
+        log.append(DemoDocument.firstRecord());
         for (int i = 0; i < ENGINE_COUNT; i++) {
             EngineStandin engine = new EngineStandin(runtime.system(), 0, STEP_MILLIS, ENGINE_CAPACITY);
             engines.add(engine);
@@ -175,12 +171,4 @@
     private static String domainOf(int index) {
         return index % 2 == 0 ? "sul-a" : "sul-b";
     }
-
-    private static byte[] readDocument() {
-        try (InputStream document = Demo.class.getResourceAsStream("/demo/document.yaml")) {
-            return Objects.requireNonNull(document, "/demo/document.yaml").readAllBytes();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
 }
--- /dev/null
+++ b/app/src/main/java/org/jasminehub/app/demo/DemoDocument.java
@@ -0,0 +1,35 @@
+package org.jasminehub.app.demo;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Objects;
+import org.jasminehub.core.document.DocumentYamlAdapter;
+import org.jasminehub.core.history.HistoryRecordCodec;
+import org.jasminehub.core.history.HistoryState;
+import org.jasminehub.core.history.PublishRecord;
+
+/** The document of the demo's team. */
+public final class DemoDocument {
+    private DemoDocument() {}
+
+    /** Returns the log record that publishes it as the team's first document. */
+    public static byte[] firstRecord() {
+        String text = readText();
+        String team = new DocumentYamlAdapter().read(text).team();
+        PublishRecord publish =
+                new PublishRecord(team, HistoryState.NO_VERSION, "demo", "demo", "first document", 0, text);
+        return new HistoryRecordCodec().encode(publish);
+    }
+
+    private static String readText() {
+        try (InputStream document = DemoDocument.class.getResourceAsStream("/demo/document.yaml")) {
+            byte[] bytes =
+                    Objects.requireNonNull(document, "/demo/document.yaml").readAllBytes();
+            return new String(bytes, StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- a/app/src/test/java/org/jasminehub/app/process/DemoDocument.java
+++ b/app/src/test/java/org/jasminehub/app/process/DemoDocument.java
@@ -1,8 +1,5 @@
 package org.jasminehub.app.process;
 
-import java.io.IOException;
-import java.io.InputStream;
-import java.io.UncheckedIOException;
 import org.jasminehub.standin.LogStandin;
 
 /** The demo's document, for tests that need some document in force. */
@@ -11,10 +8,6 @@
 
     /** Publishes the document to {@code log}. */
     public static void publishTo(LogStandin log) {
-        try (InputStream document = DemoDocument.class.getResourceAsStream("/demo/document.yaml")) {
-            log.append(document.readAllBytes());
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
+        log.append(org.jasminehub.app.demo.DemoDocument.firstRecord());
     }
 }
--- a/core/src/main/java/org/jasminehub/core/history/SnapshotPolicy.java
+++ b/core/src/main/java/org/jasminehub/core/history/SnapshotPolicy.java
@@ -27,7 +27,8 @@
      * Tells whether {@code self} writes a snapshot now.
      *
      * @param members the fleet as {@code self} sees it
-     * @param ageMillis how old the newest whole snapshot is, {@link Long#MAX_VALUE} if none was seen
+     * @param ageMillis how old the newest whole snapshot is; where none was seen, {@link #dueAgeMillis} and the time
+     *     since this instance started
      */
     public boolean isDue(InstanceId self, List<Member> members, long ageMillis) {
         int rank = InstanceRanking.rankOf(self, InstanceRanking.rankLiveEntries(members));
@@ -35,6 +36,11 @@
             return false;
         }
         long turnMillis = retentionMillis / TURNS_PER_RETENTION;
-        return ageMillis >= retentionMillis / REFRESHES_PER_RETENTION + rank * turnMillis;
+        return ageMillis >= dueAgeMillis() + rank * turnMillis;
+    }
+
+    /** Returns the age at which the first in rank writes the next snapshot. */
+    public long dueAgeMillis() {
+        return retentionMillis / REFRESHES_PER_RETENTION;
     }
 }
--- a/entry/src/main/java/org/jasminehub/entry/EntryInstance.java
+++ b/entry/src/main/java/org/jasminehub/entry/EntryInstance.java
@@ -6,13 +6,16 @@
 import org.jasminehub.core.address.AddressPolicy;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.FailureDomain;
+import org.jasminehub.core.identity.InstanceId;
 import org.jasminehub.core.identity.RequestId;
 import org.jasminehub.core.routing.RoundRobinPolicy;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.entry.control.ControlState;
 import org.jasminehub.entry.control.ControlThread;
-import org.jasminehub.entry.control.DocumentController;
 import org.jasminehub.entry.control.MembershipController;
+import org.jasminehub.entry.control.documents.DocumentController;
+import org.jasminehub.entry.control.documents.DocumentSettings;
+import org.jasminehub.entry.control.documents.WirePeerClient;
 import org.jasminehub.entry.endpoint.EndpointDirectory;
 import org.jasminehub.entry.filter.RequestFilter;
 import org.jasminehub.entry.filter.RequestHandler;
@@ -26,6 +29,7 @@
 import org.jasminehub.wire.WireProtocol;
 import org.jasminehub.wire.WireServer;
 import org.jasminehub.wire.generated.AnswerRefused;
+import org.jasminehub.wire.generated.ControlRequest;
 import org.jasminehub.wire.generated.Hello;
 
 /**
@@ -42,12 +46,14 @@
 public final class EntryInstance implements AutoCloseable {
     private static final int ADDRESSES_PER_WORKSPACE = 3;
     private static final int PLATFORM_TIMEOUT_MILLIS = 3_000;
-    private static final long LOG_RETRY_INTERVAL_MILLIS = 250;
+    private static final long LOG_RETENTION_MILLIS = 86_400_000;
+    private static final long RECORDS_INTERVAL_MILLIS = 1_000;
 
     private final EntrySettings settings;
     private final long incarnation;
     private final ControlThread control = new ControlThread();
     private final EndpointDirectory directory;
+    private final WirePeerClient peers;
     private final WireServer wireServer;
     private final CallerServer callerServer;
 
@@ -62,13 +68,17 @@
         this.settings = settings;
         this.incarnation = clock.wallMillis();
         this.directory = new EndpointDirectory(group, this::hello, clock);
+        this.peers = new WirePeerClient(group, this::hello);
+        DocumentController documents = documentController(system, ids, clock, events);
+        ControlRouter router = new ControlRouter();
+        router.on(ControlRequest.BodyCase.RECORDS, documents::onRequest);
         this.wireServer = WireServer.start(
                 group,
                 settings.host(),
                 settings.wirePort(),
                 this::hello,
                 call -> call.refuse(AnswerRefused.newBuilder().setCode("protocol-violation")),
-                new ControlRouter(),
+                router,
                 events);
         RelayHandler relay = new RelayHandler(
                 system, new FailureDomain(settings.failureDomain()), directory, new RoundRobinPolicy(), clock, events);
@@ -82,7 +92,7 @@
                         clock,
                         events)
                 .start(chain);
-        startControllers(system);
+        startControllers(system, documents);
     }
 
     /** Returns the port that callers connect to. */
@@ -116,18 +126,34 @@
         control.close();
         callerServer.close();
         wireServer.close();
+        peers.close();
         directory.close();
     }
 
-    private void startControllers(ActorSystem<?> system) {
+    private DocumentController documentController(
+            ActorSystem<?> system, Supplier<RequestId> ids, Clock clock, EventSink events) {
+        return new DocumentController(
+                new DocumentSettings(
+                        new InstanceId(settings.instance()),
+                        new FailureDomain(settings.failureDomain()),
+                        LOG_RETENTION_MILLIS),
+                control,
+                () -> control.state().members(),
+                new HttpLogService(system, settings.log(), PLATFORM_TIMEOUT_MILLIS),
+                peers,
+                () -> ids.get().value(),
+                clock,
+                events,
+                (inForce, isServing) -> control.update(state -> state.withDocuments(inForce, isServing)));
+    }
+
+    private void startControllers(ActorSystem<?> system, DocumentController documents) {
         MembershipController membership = new MembershipController(
                 control,
                 new HttpInstanceListService(system, settings.instanceList(), PLATFORM_TIMEOUT_MILLIS),
                 directory::update);
-        DocumentController documents =
-                new DocumentController(control, new HttpLogService(system, settings.log(), PLATFORM_TIMEOUT_MILLIS));
         control.repeat(membership::refresh, settings.listIntervalMillis());
-        control.repeat(documents::refresh, LOG_RETRY_INTERVAL_MILLIS);
+        control.repeat(documents::refresh, RECORDS_INTERVAL_MILLIS);
     }
 
     private Hello hello() {
