Keep this instance and heard members when the list empties

Cause: testListThatEmptiesAtOnceTakesNobodyAway was red (timed out after 60 s): with four members the list alone may take three, all others were heard, so nothing was doubted or reported, and this instance dropped itself. Change: an instance watches itself by its own heartbeat, and LIST_DOUBTED is also told where the list takes away members that are kept as they are heard.

--- a/core/src/main/java/org/jasminehub/core/membership/MembershipEventKind.java
+++ b/core/src/main/java/org/jasminehub/core/membership/MembershipEventKind.java
@@ -17,10 +17,13 @@
     MEMBER_LISTED(3004, Severity.INFO, "The platform's list shows a member for the first time."),
     /** The list's absence of a member was obeyed. */
     MEMBER_UNLISTED(3005, Severity.INFO, "A member that the platform's list no longer shows was dropped."),
-    /** The list lost too many members at once. */
-    LIST_DOUBTED(3010, Severity.WARNING, "The platform's list takes away more members than is believed at once."),
+    /** The list lost members that are heard, or too many at once. */
+    LIST_DOUBTED(
+            3010,
+            Severity.WARNING,
+            "The platform's list takes away members that are heard, or more than is believed at once."),
     /** The list is believed again. */
-    LIST_BELIEVED(3011, Severity.INFO, "The platform's list no longer takes away more members than is believed.");
+    LIST_BELIEVED(3011, Severity.INFO, "The platform's list no longer takes away members that are kept here.");
 
     private final int number;
     private final Severity severity;
--- a/core/src/main/java/org/jasminehub/core/membership/MembershipView.java
+++ b/core/src/main/java/org/jasminehub/core/membership/MembershipView.java
@@ -56,11 +56,12 @@
                 .map(Member::id)
                 .filter(id -> stateOf(id) == MemberState.LIVE)
                 .collect(Collectors.toSet());
-        Set<InstanceId> missing = live.stream()
-                .filter(id -> !isLiveIn(shown, id))
+        Set<InstanceId> missing =
+                live.stream().filter(id -> !isLiveIn(shown, id)).collect(Collectors.toSet());
+        Set<InstanceId> unheard = missing.stream()
                 .filter(id -> shown.containsKey(id) || contacts.contact(id, nowMillis) != MemberContact.HEARD)
                 .collect(Collectors.toSet());
-        Set<InstanceId> obeyed = doubt.obeyed(missing, live.size(), nowMillis);
+        Set<InstanceId> obeyed = doubt.obeyed(unheard, live.size(), nowMillis);
         announceDoubt(missing.size(), live.size(), obeyed.size() < missing.size());
         shown.values().forEach(member -> show(member, live, obeyed));
         dropUnlisted(shown.keySet(), live, obeyed);
--- a/entry/src/main/java/org/jasminehub/entry/EntryInstance.java
+++ b/entry/src/main/java/org/jasminehub/entry/EntryInstance.java
@@ -138,6 +138,7 @@
     private MembershipController newMembership(ActorSystem<?> system, Clock clock, EventSink events) {
         return new MembershipController(
                 new InstanceId(settings.instance()),
+                this::hello,
                 control,
                 new HttpInstanceListService(system, settings.instanceList(), PLATFORM_TIMEOUT_MILLIS),
                 peers,
--- a/entry/src/main/java/org/jasminehub/entry/control/members/MembershipController.java
+++ b/entry/src/main/java/org/jasminehub/entry/control/members/MembershipController.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.jasminehub.core.address.DomainDistance;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.InstanceId;
@@ -32,6 +33,8 @@
 public final class MembershipController implements LinkObserver {
     private static final int MAX_REPORTS = 16;
 
+    private final InstanceId self;
+    private final Supplier<Hello> hello;
     private final ControlThread control;
     private final InstanceListService list;
     private final PeerLinks peers;
@@ -47,6 +50,7 @@
      * Creates a controller that knows nobody.
      *
      * @param self this instance
+     * @param hello says who it is; first called after it has started
      * @param control the control thread
      * @param list the platform's list
      * @param peers the connections to peers
@@ -58,6 +62,7 @@
      */
     public MembershipController(
             InstanceId self,
+            Supplier<Hello> hello,
             ControlThread control,
             InstanceListService list,
             PeerLinks peers,
@@ -66,6 +71,8 @@
             Runnable broadcast,
             Clock clock,
             EventSink events) {
+        this.self = self;
+        this.hello = hello;
         this.control = control;
         this.list = list;
         this.peers = peers;
@@ -83,6 +90,7 @@
 
     /** Sends a heartbeat with news to all peers that watch this instance, and looks for members that fell silent. */
     public void beat() {
+        take(hello.get());
         view.checkContacts(now());
         passOnNews();
         publish();
@@ -110,6 +118,7 @@
         view.listRead(members, now());
         Set<InstanceId> chosen = new HashSet<>(watchPolicy.choose(merged()));
         watched.stream().filter(this::isListedAndLeaving).forEach(chosen::add);
+        chosen.add(self);
         watched = Set.copyOf(chosen);
         view.watch(watched, now());
         publish();
@@ -149,7 +158,7 @@
         List<Member> peersWatched = new ArrayList<>();
         List<Member> agentsWatched = new ArrayList<>();
         for (Member member : members) {
-            if (watched.contains(member.id())) {
+            if (watched.contains(member.id()) && !member.id().equals(self)) {
                 (member.role() == MemberRole.ENTRY ? peersWatched : agentsWatched).add(member);
             }
         }
