--- /dev/null
+++ b/agent/src/main/java/org/jasminehub/agent/lease/OrderFilter.java
@@ -0,0 +1,63 @@
+package org.jasminehub.agent.lease;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import org.jasminehub.core.error.ErrorCode;
+import org.jasminehub.core.lease.OrderGate;
+import org.jasminehub.core.lease.OrderVerdict;
+import org.jasminehub.core.lease.ShardId;
+import org.jasminehub.wire.ControlHandler;
+import org.jasminehub.wire.generated.ControlReply;
+import org.jasminehub.wire.generated.ControlRequest;
+import org.jasminehub.wire.generated.OrderReply;
+import org.jasminehub.wire.generated.OrderRequest;
+
+/**
+ * Hands on the orders that the gate takes and refuses the others.
+ *
+ * <pre>{@code
+ * router.on(ControlRequest.BodyCase.ORDER, new OrderFilter(gate, engineOrders::send));
+ * }</pre>
+ *
+ * <p>Orders are handed on one after the other in the order in which they were admitted. Safe for use by several threads.
+ */
+public final class OrderFilter implements ControlHandler {
+    private final OrderGate gate;
+    private final Function<OrderRequest, CompletionStage<OrderReply>> next;
+
+    /** Creates a filter; all use of {@code gate} must hold its lock. */
+    public OrderFilter(OrderGate gate, Function<OrderRequest, CompletionStage<OrderReply>> next) {
+        this.gate = gate;
+        this.next = next;
+    }
+
+    @Override
+    public CompletionStage<ControlReply.Builder> onRequest(ControlRequest request) {
+        return handle(request.getOrder()).thenApply(ControlReply.newBuilder()::setOrder);
+    }
+
+    private CompletionStage<OrderReply> handle(OrderRequest order) {
+        // The engine gets an order before the next one is admitted: a lower number can never overtake a higher one.
+        synchronized (gate) {
+            if (order.getShard().isBlank()) {
+                return refused(ErrorCode.PROTOCOL_VIOLATION, -1);
+            }
+            ShardId shard = new ShardId(order.getShard());
+            OrderVerdict verdict = gate.admit(shard, order.getFencingNumber(), order.getIncarnation());
+            return switch (verdict) {
+                case ACCEPTED -> next.apply(order);
+                case NUMBER_UNKNOWN -> refused(ErrorCode.NOT_READY, -1);
+                case NUMBER_OLD, OTHER_INCARNATION -> refused(ErrorCode.ORDER_FENCED, gate.lowestValidNumber(shard));
+            };
+        }
+    }
+
+    private static CompletionStage<OrderReply> refused(ErrorCode code, long lowestValidNumber) {
+        return CompletableFuture.completedFuture(OrderReply.newBuilder()
+                .setAccepted(false)
+                .setCode(code.code())
+                .setNewestFencingNumber(Math.max(0, lowestValidNumber))
+                .build());
+    }
+}
