--- /dev/null
+++ b/bench/src/main/java/org/jasminehub/bench/operation/package-info.java
@@ -0,0 +1,5 @@
+/** Measurements of running operations at most once. */
+@NullMarked
+package org.jasminehub.bench.operation;
+
+import org.jspecify.annotations.NullMarked;
--- a/core/src/main/java/org/jasminehub/core/operation/OperationLedger.java
+++ b/core/src/main/java/org/jasminehub/core/operation/OperationLedger.java
@@ -22,6 +22,8 @@
     private final Map<OperationId, OperationRecord> records = new LinkedHashMap<>();
     private final Set<OperationId> expired = new LinkedHashSet<>();
 
+    private long keptBytes;
+
     OperationLedger(LedgerLimits limits, long retentionMillis) {
         this.limits = limits;
         this.retentionMillis = retentionMillis;
@@ -55,8 +57,13 @@
     }
 
     void finish(OperationId id, OperationResult result) {
-        boolean isKept = result.body().length <= limits.maxResultBytes();
-        records.computeIfPresent(id, (same, operation) -> operation.with(OperationState.DONE, isKept ? result : null));
+        int sizeBytes = result.body().length;
+        boolean isKept = sizeBytes <= limits.maxResultBytes() && keptBytes + sizeBytes <= limits.maxKeptBytes();
+        OperationRecord operation = records.get(id);
+        if (operation != null && operation.state() != OperationState.DONE) {
+            records.put(id, operation.with(OperationState.DONE, isKept ? result : null));
+            keptBytes += isKept ? sizeBytes : 0;
+        }
     }
 
     void doubt(OperationId id) {
@@ -90,10 +97,15 @@
                 return;
             }
             oldestFirst.remove();
+            keptBytes -= sizeBytes(oldest);
             rememberName(oldest.id());
         }
     }
 
+    private static int sizeBytes(OperationRecord operation) {
+        return operation.result() == null ? 0 : operation.result().body().length;
+    }
+
     private void rememberName(OperationId id) {
         expired.add(id);
         if (expired.size() > limits.maxExpired()) {
--- a/core/src/test/java/org/jasminehub/core/operation/HomeGuardTest.java
+++ b/core/src/test/java/org/jasminehub/core/operation/HomeGuardTest.java
@@ -88,7 +88,7 @@
 
         @Test
         void testFullMemoryRefusesNewKeysAndForgetsNone() {
-            HomeGuard small = guard(oldId, new LedgerLimits(1, 1, 100, 1));
+            HomeGuard small = guard(oldId, new LedgerLimits(1, 1, 100, 100, 1));
             small.learn(onlyOld);
             small.confirm(1, 0);
             send(small, key("first"), "body");
--- a/core/src/test/java/org/jasminehub/core/operation/OperationWorld.java
+++ b/core/src/test/java/org/jasminehub/core/operation/OperationWorld.java
@@ -17,7 +17,7 @@
 /** Agents, entry instances, callers, a log and a network that loses, repeats, delays and reorders, under one seed. */
 final class OperationWorld {
     private static final int STEPS = 1200;
-    private static final LedgerLimits LIMITS = new LedgerLimits(1000, 100, 100, 0);
+    private static final LedgerLimits LIMITS = new LedgerLimits(1000, 100, 100, 10_000, 0);
     private static final int MAX_AGENTS = 5;
     private static final int KEYS_IN_USE = 4;
     private static final String BODY = "digest";
