--- a/agent/src/main/java/org/jasminehub/agent/Agent.java
+++ b/agent/src/main/java/org/jasminehub/agent/Agent.java
@@ -15,6 +15,8 @@
 import org.jasminehub.agent.engine.EndpointClient;
 import org.jasminehub.agent.engine.EndpointRelay;
 import org.jasminehub.agent.engine.LoadReporter;
+import org.jasminehub.agent.operation.OperationFilter;
+import org.jasminehub.agent.operation.OperationGuard;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.membership.TargetKind;
 import org.jasminehub.core.time.Clock;
@@ -47,6 +49,7 @@
     private final LeavingFilter leaving = new LeavingFilter();
     private final DocumentVersionFilter versions = new DocumentVersionFilter();
     private final RunningCalls running = new RunningCalls();
+    private final OperationGuard operations;
     private final WireServer server;
     private final Cancellable loadTimer;
 
@@ -58,7 +61,9 @@
         boolean isModel = settings.target().kind() == TargetKind.MODEL;
         EndpointClient client = new EndpointClient(system, settings.endpoint());
         EndpointRelay relay = new EndpointRelay(system, client, isModel, events);
-        CallHandler chain = CallFilter.chain(List.of(running, leaving, versions), relay);
+        this.operations = OperationGuard.create(hello(), settings.target().name(), clock, events);
+        OperationFilter onceOnly = new OperationFilter(system, client, operations, EndpointRelay::isConnectFailure);
+        CallHandler chain = CallFilter.chain(List.of(running, versions, onceOnly, leaving), relay);
         this.server = WireServer.start(
                 group,
                 settings.host(),
@@ -110,6 +115,7 @@
     private ControlRouter controlRouter() {
         ControlRouter router = new ControlRouter();
         router.on(ControlRequest.BodyCase.STATUS, request -> completed(status()));
+        router.on(ControlRequest.BodyCase.TICKET, operations::onRequest);
         router.on(ControlRequest.BodyCase.LEAVE, request -> completed(leaveAndReport()));
         return router;
     }
--- a/agent/src/main/java/org/jasminehub/agent/engine/EndpointRelay.java
+++ b/agent/src/main/java/org/jasminehub/agent/engine/EndpointRelay.java
@@ -127,8 +127,8 @@
         call.refuse(ErrorCode.ENDPOINT_FAILED, outcome, RETRY_AFTER_MILLIS, message);
     }
 
-    /** A connection that was never made cannot have carried the request. */
-    private static boolean isConnectFailure(@Nullable Throwable failure) {
+    /** Tells whether the connection was never made, so that it cannot have carried the request. */
+    public static boolean isConnectFailure(@Nullable Throwable failure) {
         for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
             if (cause instanceof StreamTcpException
                     && String.valueOf(cause.getMessage()).contains("Connection refused")) {
--- a/core/src/main/java/org/jasminehub/core/operation/GuardDecision.java
+++ b/core/src/main/java/org/jasminehub/core/operation/GuardDecision.java
@@ -1,6 +1,9 @@
 package org.jasminehub.core.operation;
 
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+
 /** What an agent decides when it is asked about an operation. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.MINIMAL_CLASS)
 public sealed interface GuardDecision {
     /** The operation may be started here, once, while the ticket is valid. */
     record TicketGranted(OperationTicket ticket) implements GuardDecision {}
--- a/core/src/main/java/org/jasminehub/core/operation/HomeGuard.java
+++ b/core/src/main/java/org/jasminehub/core/operation/HomeGuard.java
@@ -116,11 +116,11 @@
     }
 
     /** Makes sure that the operation never runs, unless it has been started; the answer says which. */
-    public GuardDecision revoke(OperationId id) {
+    public GuardDecision revoke(OperationId id, String bodyDigest) {
         long nowMillis = clock.monotonicMillis();
         Optional<OperationRecord> known = ledger.find(id, nowMillis);
         if (known.isPresent()) {
-            return answer(id, known.get().answer());
+            return answerKnown(known.get(), bodyDigest);
         }
         GuardDecision refusal = refuseUnlessHome(id, nowMillis);
         if (refusal != null) {
--- a/core/src/main/java/org/jasminehub/core/operation/OperationCall.java
+++ b/core/src/main/java/org/jasminehub/core/operation/OperationCall.java
@@ -105,6 +105,15 @@
         return answerUnknown(ErrorCode.OUTCOME_UNKNOWN);
     }
 
+    /** Takes a refusal of the request by another step at the home, which proves nothing of earlier attempts. */
+    public OperationStep takeRefusal(ErrorCode code) {
+        OperationStep step = takeLoss();
+        if (step instanceof OperationStep.RequestRevocation) {
+            refusal = code;
+        }
+        return step;
+    }
+
     /** Takes the passing of the deadline. */
     public OperationStep takeDeadline() {
         return answerUnknown(ErrorCode.DEADLINE_EXCEEDED);
--- a/core/src/main/java/org/jasminehub/core/operation/OperationTicket.java
+++ b/core/src/main/java/org/jasminehub/core/operation/OperationTicket.java
@@ -10,4 +10,7 @@
  * @param id the operation
  * @param expiresMillis when it lapses, by the issuer's monotonic clock
  */
-public record OperationTicket(AgentIncarnation issuer, OperationId id, long expiresMillis) {}
+public record OperationTicket(AgentIncarnation issuer, OperationId id, long expiresMillis) {
+    /** The header that carries a ticket between processes of the system, never to a service. */
+    public static final String HEADER = "x-operation-ticket";
+}
--- a/core/src/main/java/org/jasminehub/core/operation/OperationTimes.java
+++ b/core/src/main/java/org/jasminehub/core/operation/OperationTimes.java
@@ -12,6 +12,9 @@
  * <p>Immutable.
  */
 public final class OperationTimes {
+    /** A window of ten minutes, a lease of five, deadlines of up to a minute and tickets of five seconds. */
+    public static final OperationTimes DEFAULT = of(600_000, 300_000, 60_000, 5_000);
+
     /** Clocks of two instances may differ in speed by one part in this many. */
     private static final long CLOCK_DRIFT_DIVISOR = 100;
 
--- a/core/src/test/java/org/jasminehub/core/operation/HomeGuardTest.java
+++ b/core/src/test/java/org/jasminehub/core/operation/HomeGuardTest.java
@@ -104,7 +104,7 @@
         void testRevokedKeyNeverStartsEvenWithATicketInHand() {
             confirmOldHome();
             var granted = assertInstanceOf(GuardDecision.TicketGranted.class, oldHome.requestTicket(key("k"), "body"));
-            assertEquals(Outcome.NOT_RUN, answer(oldHome.revoke(key("k"))).outcome());
+            assertEquals(Outcome.NOT_RUN, answer(oldHome.revoke(key("k"), "body")).outcome());
             assertEquals(
                     Outcome.NOT_RUN,
                     answer(oldHome.start(granted.ticket(), "body")).outcome());
@@ -114,7 +114,17 @@
         void testRevocationOfARunningOperationIsUnknown() {
             confirmOldHome();
             send(oldHome, key("k"), "body");
-            assertEquals(Outcome.UNKNOWN, answer(oldHome.revoke(key("k"))).outcome());
+            assertEquals(Outcome.UNKNOWN, answer(oldHome.revoke(key("k"), "body")).outcome());
+        }
+
+        @Test
+        void testRevocationOfAnotherBodyTellsNothingOfTheFirst() {
+            confirmOldHome();
+            send(oldHome, key("k"), "body");
+            oldHome.finish(key("k"), BOOKED);
+            assertEquals(
+                    OperationAnswer.notRun(ErrorCode.IDEMPOTENCY_KEY_REUSED),
+                    answer(oldHome.revoke(key("k"), "other")));
         }
 
         @Test
@@ -150,7 +160,7 @@
             assertEquals(
                     Outcome.UNKNOWN,
                     answer(oldHome.start(granted.ticket(), "body")).outcome());
-            assertEquals(Outcome.UNKNOWN, answer(oldHome.revoke(key("k"))).outcome());
+            assertEquals(Outcome.UNKNOWN, answer(oldHome.revoke(key("k"), "body")).outcome());
         }
 
         @Test
--- a/core/src/test/java/org/jasminehub/core/operation/OperationWorld.java
+++ b/core/src/test/java/org/jasminehub/core/operation/OperationWorld.java
@@ -237,7 +237,7 @@
                 return;
             }
             toAgent(entry, call, ask.home(), agent -> {
-                GuardDecision decision = agent.guard.revoke(call.id);
+                GuardDecision decision = agent.guard.revoke(call.id, BODY);
                 reply(entry, call, () -> act(entry, call, call.call.takeRevocationReply(decision)));
             });
         } else if (step instanceof OperationStep.AnswerCaller last) {
--- a/entry/src/main/java/org/jasminehub/entry/EntryInstance.java
+++ b/entry/src/main/java/org/jasminehub/entry/EntryInstance.java
@@ -6,6 +6,7 @@
 import org.jasminehub.core.address.AddressPolicy;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.FailureDomain;
+import org.jasminehub.core.identity.InstanceId;
 import org.jasminehub.core.identity.RequestId;
 import org.jasminehub.core.routing.RoundRobinPolicy;
 import org.jasminehub.core.time.Clock;
@@ -16,6 +17,9 @@
 import org.jasminehub.entry.endpoint.EndpointDirectory;
 import org.jasminehub.entry.filter.RequestFilter;
 import org.jasminehub.entry.filter.RequestHandler;
+import org.jasminehub.entry.filter.operation.HomeTableController;
+import org.jasminehub.entry.filter.operation.OperationFilter;
+import org.jasminehub.entry.filter.operation.OperationKeyPage;
 import org.jasminehub.entry.http.CallerServer;
 import org.jasminehub.entry.http.CallerServerFactory;
 import org.jasminehub.entry.relay.RelayHandler;
@@ -44,10 +48,13 @@
     private static final int PLATFORM_TIMEOUT_MILLIS = 3_000;
     private static final long LOG_RETRY_INTERVAL_MILLIS = 250;
 
+    private static final long HOME_ROUND_MILLIS = 500;
+
     private final EntrySettings settings;
     private final long incarnation;
     private final ControlThread control = new ControlThread();
     private final EndpointDirectory directory;
+    private final HomeTableController homes;
     private final WireServer wireServer;
     private final CallerServer callerServer;
 
@@ -72,7 +79,10 @@
                 events);
         RelayHandler relay = new RelayHandler(
                 system, new FailureDomain(settings.failureDomain()), directory, new RoundRobinPolicy(), clock, events);
-        RequestHandler chain = RequestFilter.chain(List.of(), relay);
+        HttpLogService log = new HttpLogService(system, settings.log(), PLATFORM_TIMEOUT_MILLIS);
+        this.homes = new HomeTableController(new InstanceId(settings.instance()), control, log, directory);
+        OperationFilter operations = new OperationFilter(directory, homes, clock, events);
+        RequestHandler chain = RequestFilter.chain(List.of(operations), operations.terminal(relay));
         this.callerServer = new CallerServerFactory(
                         system,
                         settings,
@@ -81,7 +91,7 @@
                         ids,
                         clock,
                         events)
-                .start(chain);
+                .start(chain, new OperationKeyPage(directory));
         startControllers(system);
     }
 
@@ -110,6 +120,11 @@
         return directory;
     }
 
+    /** Returns the homes of operation keys that it knows. */
+    public HomeTableController homes() {
+        return homes;
+    }
+
     /** Stops at once; requests that run are cut. */
     @Override
     public void close() {
@@ -128,6 +143,8 @@
                 new DocumentController(control, new HttpLogService(system, settings.log(), PLATFORM_TIMEOUT_MILLIS));
         control.repeat(membership::refresh, settings.listIntervalMillis());
         control.repeat(documents::refresh, LOG_RETRY_INTERVAL_MILLIS);
+        control.repeat(homes::refresh, LOG_RETRY_INTERVAL_MILLIS);
+        control.repeat(homes::keep, HOME_ROUND_MILLIS);
     }
 
     private Hello hello() {
--- /dev/null
+++ b/entry/src/main/java/org/jasminehub/entry/filter/operation/HomeLink.java
@@ -0,0 +1,47 @@
+package org.jasminehub.entry.filter.operation;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.jasminehub.core.identity.EndpointId;
+import org.jasminehub.core.operation.AgentIncarnation;
+import org.jasminehub.core.operation.OperationMessage;
+import org.jasminehub.core.operation.OperationMessageCodec;
+import org.jasminehub.entry.endpoint.EndpointDirectory;
+import org.jasminehub.entry.endpoint.EndpointLink;
+import org.jasminehub.wire.WireException;
+import org.jasminehub.wire.generated.ControlReply;
+import org.jasminehub.wire.generated.ControlRequest;
+import org.jasminehub.wire.generated.TicketRequest;
+
+/** Sends operation messages to agents. Safe for use by several threads. */
+final class HomeLink {
+    private final EndpointDirectory directory;
+
+    HomeLink(EndpointDirectory directory) {
+        this.directory = directory;
+    }
+
+    /** Returns the connection to {@code agent}, unless another incarnation answers there. */
+    Optional<EndpointLink> find(AgentIncarnation agent) {
+        return directory
+                .link(new EndpointId(agent.agent().value()))
+                .filter(link -> link.peer().getIncarnation() == agent.incarnation());
+    }
+
+    /** Returns the reply to {@code message}; fails where the agent is gone or silent for {@code timeoutMillis}. */
+    CompletionStage<OperationMessage> ask(AgentIncarnation agent, OperationMessage message, int timeoutMillis) {
+        Optional<EndpointLink> link = find(agent);
+        if (link.isEmpty()) {
+            return CompletableFuture.failedFuture(new WireException(agent + " is not connected", null));
+        }
+        ControlRequest.Builder request = ControlRequest.newBuilder()
+                .setTicket(TicketRequest.newBuilder().setIdempotencyKey(OperationMessageCodec.write(message)));
+        return link.get().client().request(request, timeoutMillis).thenApply(HomeLink::messageOf);
+    }
+
+    private static OperationMessage messageOf(ControlReply reply) {
+        return OperationMessageCodec.read(reply.getTicket().getTicket())
+                .orElseThrow(() -> new WireException("the reply holds no operation message", null));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/jasminehub/entry/filter/operation/OperationKeyPage.java
@@ -0,0 +1,69 @@
+package org.jasminehub.entry.filter.operation;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.jasminehub.core.error.ErrorCode;
+import org.jasminehub.core.error.Outcome;
+import org.jasminehub.core.error.RequestException;
+import org.jasminehub.core.identity.InstanceId;
+import org.jasminehub.core.membership.Target;
+import org.jasminehub.core.operation.AgentIncarnation;
+import org.jasminehub.core.operation.OperationMessage;
+import org.jasminehub.entry.endpoint.EndpointDirectory;
+import org.jasminehub.entry.endpoint.EndpointLink;
+
+/**
+ * {@code POST /v1/operation-keys?service=NAME}: gives a caller a key that a live agent runs, also while the log is down.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class OperationKeyPage {
+    private static final int REPLY_MILLIS = 2_000;
+    private static final int STATUS_CREATED = 201;
+    private static final long RETRY_AFTER_MILLIS = 500;
+
+    private final EndpointDirectory directory;
+    private final HomeLink homes;
+
+    /** Creates a page that asks the agents in {@code directory}. */
+    public OperationKeyPage(EndpointDirectory directory) {
+        this.directory = directory;
+        this.homes = new HomeLink(directory);
+    }
+
+    /** Answers {@code request}; fails with {@link RequestException} where no agent of the service is live. */
+    public CompletionStage<HttpResponse> handle(HttpRequest request) {
+        String service = request.getUri().query().get("service").orElse("");
+        if (service.isBlank()) {
+            return CompletableFuture.failedFuture(new RequestException(
+                    ErrorCode.REQUEST_MALFORMED, Outcome.NOT_RUN, "the query parameter service is missing"));
+        }
+        return ask(directory.usable(Target.service(service)), service);
+    }
+
+    /** Asks the first agent and, where that fails, the others: a key that nobody has got harms nobody. */
+    private CompletionStage<HttpResponse> ask(List<EndpointLink> links, String service) {
+        if (links.isEmpty()) {
+            return CompletableFuture.failedFuture(new RequestException(
+                    ErrorCode.NO_ENDPOINT, Outcome.NOT_RUN, RETRY_AFTER_MILLIS, "no agent serves " + service));
+        }
+        EndpointLink first = links.get(0);
+        AgentIncarnation agent = new AgentIncarnation(
+                new InstanceId(first.id().value()), first.peer().getIncarnation());
+        return homes.ask(agent, new OperationMessage.AskKey(), REPLY_MILLIS)
+                .handle((reply, failure) -> reply instanceof OperationMessage.KeyIssued issued
+                        ? CompletableFuture.completedFuture(answer(issued))
+                        : ask(links.subList(1, links.size()), service))
+                .thenCompose(stage -> stage);
+    }
+
+    private static HttpResponse answer(OperationMessage.KeyIssued issued) {
+        return HttpResponse.create()
+                .withStatus(STATUS_CREATED)
+                .withEntity(ContentTypes.APPLICATION_JSON, "{\"key\":\"" + issued.key() + "\"}");
+    }
+}
--- a/entry/src/main/java/org/jasminehub/entry/http/CallerServerFactory.java
+++ b/entry/src/main/java/org/jasminehub/entry/http/CallerServerFactory.java
@@ -11,6 +11,7 @@
 import org.jasminehub.entry.control.ControlState;
 import org.jasminehub.entry.filter.RequestHandler;
 import org.jasminehub.entry.filter.RequestIdentifier;
+import org.jasminehub.entry.filter.operation.OperationKeyPage;
 
 /** Starts the HTTP server with all its pages. Safe for use by several threads. */
 public final class CallerServerFactory {
@@ -40,8 +41,8 @@
         this.events = events;
     }
 
-    /** Starts a server that answers requests with {@code chain}. */
-    public CallerServer start(RequestHandler chain) {
+    /** Starts a server that answers requests with {@code chain} and operation keys with {@code operationKeys}. */
+    public CallerServer start(RequestHandler chain, OperationKeyPage operationKeys) {
         AddressPage addressPage = new AddressPage(state, addresses, settings.addressTtlMillis());
         StatusPage statusPage = new StatusPage(settings.instance(), state);
         return new CallerServer(
@@ -51,7 +52,13 @@
                 new RequestReader(clock, ids),
                 new RequestIdentifier(state),
                 chain,
-                Map.of("/v1/addresses", addressPage::handle, "/v1/status", statusPage::handle),
+                Map.of(
+                        "/v1/addresses",
+                        addressPage::handle,
+                        "/v1/status",
+                        statusPage::handle,
+                        "/v1/operation-keys",
+                        operationKeys::handle),
                 events,
                 settings.maxBodyBytes());
     }
--- a/entry/src/main/java/org/jasminehub/entry/relay/CallStarts.java
+++ b/entry/src/main/java/org/jasminehub/entry/relay/CallStarts.java
@@ -8,12 +8,13 @@
 import org.jasminehub.wire.generated.PriorityClass;
 
 /** Turns a request into the message that asks an agent to run it. */
-final class CallStarts {
+public final class CallStarts {
     static final int INITIAL_CREDIT_CHUNKS = 32;
 
     private CallStarts() {}
 
-    static CallStart.Builder of(RequestContext context, int attempt, int resumeFromEvent, long remainingMillis) {
+    /** Returns the message of one attempt. */
+    public static CallStart.Builder of(RequestContext context, int attempt, int resumeFromEvent, long remainingMillis) {
         CallerRequest request = context.request();
         CallStart.Builder start = CallStart.newBuilder()
                 .setRequestId(request.id().value())
--- a/standin/src/main/java/org/jasminehub/standin/BookingStandin.java
+++ b/standin/src/main/java/org/jasminehub/standin/BookingStandin.java
@@ -50,6 +50,11 @@
         answerGate.complete(null);
     }
 
+    /** Dies with every answer that is held. */
+    public void closeWithoutAnswers() {
+        server.close();
+    }
+
     @Override
     public void close() {
         releaseAnswers();
