--- a/standin/src/main/java/org/jasminehub/standin/InstanceListStandin.java
+++ b/standin/src/main/java/org/jasminehub/standin/InstanceListStandin.java
@@ -25,6 +25,7 @@
     private List<MemberJson> shown = List.of();
     private boolean held;
     private boolean down;
+    private long reads;
 
     /** Starts an empty list on {@code port}; port 0 takes a free one. */
     public InstanceListStandin(ClassicActorSystemProvider system, int port) {
@@ -64,6 +65,11 @@
         down = isDown;
     }
 
+    /** Returns how often it was asked. */
+    public synchronized long reads() {
+        return reads;
+    }
+
     @Override
     public void close() {
         server.close();
@@ -76,6 +82,7 @@
     }
 
     private synchronized CompletionStage<HttpResponse> handle(HttpRequest request) {
+        reads++;
         HttpResponse response = down
                 ? StandinServer.status(StandinServer.STATUS_UNAVAILABLE)
                 : StandinServer.json(StandinServer.STATUS_OK, new InstancesJson(shown));
