--- a/core/src/test/java/org/jasminehub/core/operation/HomeGuardTest.java
+++ b/core/src/test/java/org/jasminehub/core/operation/HomeGuardTest.java
@@ -104,7 +104,8 @@
         void testRevokedKeyNeverStartsEvenWithATicketInHand() {
             confirmOldHome();
             var granted = assertInstanceOf(GuardDecision.TicketGranted.class, oldHome.requestTicket(key("k"), "body"));
-            assertEquals(Outcome.NOT_RUN, answer(oldHome.revoke(key("k"), "body")).outcome());
+            assertEquals(
+                    Outcome.NOT_RUN, answer(oldHome.revoke(key("k"), "body")).outcome());
             assertEquals(
                     Outcome.NOT_RUN,
                     answer(oldHome.start(granted.ticket(), "body")).outcome());
@@ -114,7 +115,8 @@
         void testRevocationOfARunningOperationIsUnknown() {
             confirmOldHome();
             send(oldHome, key("k"), "body");
-            assertEquals(Outcome.UNKNOWN, answer(oldHome.revoke(key("k"), "body")).outcome());
+            assertEquals(
+                    Outcome.UNKNOWN, answer(oldHome.revoke(key("k"), "body")).outcome());
         }
 
         @Test
@@ -160,7 +162,8 @@
             assertEquals(
                     Outcome.UNKNOWN,
                     answer(oldHome.start(granted.ticket(), "body")).outcome());
-            assertEquals(Outcome.UNKNOWN, answer(oldHome.revoke(key("k"), "body")).outcome());
+            assertEquals(
+                    Outcome.UNKNOWN, answer(oldHome.revoke(key("k"), "body")).outcome());
         }
 
         @Test
--- a/entry/src/main/java/org/jasminehub/entry/filter/operation/OperationExchange.java
+++ b/entry/src/main/java/org/jasminehub/entry/filter/operation/OperationExchange.java
@@ -90,7 +90,8 @@
 
     private String digest() {
         CallerRequest request = context.request();
-        return OperationDigest.of(request.method(), request.path(), request.body().toArray());
+        return OperationDigest.of(
+                request.method(), request.path(), request.body().toArray());
     }
 
     /** Hands a reply's decision to the call. */
