--- a/entry/src/main/java/org/jasminehub/entry/EntryInstance.java
+++ b/entry/src/main/java/org/jasminehub/entry/EntryInstance.java
@@ -20,6 +20,9 @@
 import org.jasminehub.entry.endpoint.EndpointDirectory;
 import org.jasminehub.entry.filter.RequestFilter;
 import org.jasminehub.entry.filter.RequestHandler;
+import org.jasminehub.entry.filter.operation.HomeTableController;
+import org.jasminehub.entry.filter.operation.OperationFilter;
+import org.jasminehub.entry.filter.operation.OperationKeyPage;
 import org.jasminehub.entry.http.CallerServer;
 import org.jasminehub.entry.http.CallerServerFactory;
 import org.jasminehub.entry.relay.RelayHandler;
@@ -50,6 +53,8 @@
     private static final long HEARTBEAT_INTERVAL_MILLIS = 2_000;
     private static final long LOG_RETENTION_MILLIS = 86_400_000;
     private static final long RECORDS_INTERVAL_MILLIS = 1_000;
+    private static final long LOG_RETRY_INTERVAL_MILLIS = 250;
+    private static final long HOME_ROUND_MILLIS = 500;
 
     private final EntrySettings settings;
     private final long incarnation;
@@ -58,6 +63,7 @@
     private final PeerLinks peerLinks;
     private final EndpointDirectory directory;
     private final WirePeerClient peerRecords;
+    private final HomeTableController homes;
     private final WireServer wireServer;
     private final CallerServer callerServer;
 
@@ -88,7 +94,10 @@
                 events);
         RelayHandler relay = new RelayHandler(
                 system, new FailureDomain(settings.failureDomain()), directory, new RoundRobinPolicy(), clock, events);
-        RequestHandler chain = RequestFilter.chain(List.of(), relay);
+        HttpLogService log = new HttpLogService(system, settings.log(), PLATFORM_TIMEOUT_MILLIS);
+        this.homes = new HomeTableController(new InstanceId(settings.instance()), control, log, directory);
+        OperationFilter operations = new OperationFilter(directory, homes, clock, events);
+        RequestHandler chain = RequestFilter.chain(List.of(operations), operations.terminal(relay));
         this.callerServer = new CallerServerFactory(
                         system,
                         settings,
@@ -97,7 +106,7 @@
                         ids,
                         clock,
                         events)
-                .start(chain);
+                .start(chain, new OperationKeyPage(directory));
         startControllers(documents);
     }
 
@@ -126,6 +135,11 @@
         return directory;
     }
 
+    /** Returns the homes of operation keys that it knows. */
+    public HomeTableController homes() {
+        return homes;
+    }
+
     /** Stops at once; requests that run are cut. */
     @Override
     public void close() {
@@ -158,6 +172,8 @@
         control.repeat(membership::refresh, settings.listIntervalMillis());
         control.repeat(membership::beat, HEARTBEAT_INTERVAL_MILLIS);
         control.repeat(documents::refresh, RECORDS_INTERVAL_MILLIS);
+        control.repeat(homes::refresh, LOG_RETRY_INTERVAL_MILLIS);
+        control.repeat(homes::keep, HOME_ROUND_MILLIS);
     }
 
     private MembershipController newMembership(ActorSystem<?> system, Clock clock, EventSink events) {
