--- a/entry/src/main/java/org/jasminehub/entry/EntryInstance.java
+++ b/entry/src/main/java/org/jasminehub/entry/EntryInstance.java
@@ -12,10 +12,11 @@
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.entry.control.ControlState;
 import org.jasminehub.entry.control.ControlThread;
-import org.jasminehub.entry.control.MembershipController;
 import org.jasminehub.entry.control.documents.DocumentController;
 import org.jasminehub.entry.control.documents.DocumentSettings;
 import org.jasminehub.entry.control.documents.WirePeerClient;
+import org.jasminehub.entry.control.members.MembershipController;
+import org.jasminehub.entry.control.members.PeerLinks;
 import org.jasminehub.entry.endpoint.EndpointDirectory;
 import org.jasminehub.entry.filter.RequestFilter;
 import org.jasminehub.entry.filter.RequestHandler;
@@ -46,14 +47,17 @@
 public final class EntryInstance implements AutoCloseable {
     private static final int ADDRESSES_PER_WORKSPACE = 3;
     private static final int PLATFORM_TIMEOUT_MILLIS = 3_000;
+    private static final long HEARTBEAT_INTERVAL_MILLIS = 2_000;
     private static final long LOG_RETENTION_MILLIS = 86_400_000;
     private static final long RECORDS_INTERVAL_MILLIS = 1_000;
 
     private final EntrySettings settings;
     private final long incarnation;
     private final ControlThread control = new ControlThread();
+    private final MembershipController membership;
+    private final PeerLinks peers;
     private final EndpointDirectory directory;
-    private final WirePeerClient peers;
+    private final WirePeerClient recordPeers;
     private final WireServer wireServer;
     private final CallerServer callerServer;
 
@@ -67,8 +71,10 @@
             EventSink events) {
         this.settings = settings;
         this.incarnation = clock.wallMillis();
-        this.directory = new EndpointDirectory(group, this::hello, clock);
-        this.peers = new WirePeerClient(group, this::hello);
+        this.peers = new PeerLinks(group, this::hello);
+        this.membership = newMembership(system, clock, events);
+        this.directory = new EndpointDirectory(group, this::hello, clock, membership);
+        this.recordPeers = new WirePeerClient(group, this::hello);
         DocumentController documents = documentController(system, ids, clock, events);
         ControlRouter router = new ControlRouter();
         router.on(ControlRequest.BodyCase.RECORDS, documents::onRequest);
@@ -92,7 +98,7 @@
                         clock,
                         events)
                 .start(chain);
-        startControllers(system, documents);
+        startControllers(documents);
     }
 
     /** Returns the port that callers connect to. */
@@ -126,8 +132,9 @@
         control.close();
         callerServer.close();
         wireServer.close();
-        peers.close();
+        recordPeers.close();
         directory.close();
+        peers.close();
     }
 
     private DocumentController documentController(
@@ -140,28 +147,43 @@
                 control,
                 () -> control.state().members(),
                 new HttpLogService(system, settings.log(), PLATFORM_TIMEOUT_MILLIS),
-                peers,
+                recordPeers,
                 () -> ids.get().value(),
                 clock,
                 events,
                 (inForce, isServing) -> control.update(state -> state.withDocuments(inForce, isServing)));
     }
 
-    private void startControllers(ActorSystem<?> system, DocumentController documents) {
-        MembershipController membership = new MembershipController(
-                control,
-                new HttpInstanceListService(system, settings.instanceList(), PLATFORM_TIMEOUT_MILLIS),
-                directory::update);
+    private void startControllers(DocumentController documents) {
         control.repeat(membership::refresh, settings.listIntervalMillis());
+        control.repeat(membership::beat, HEARTBEAT_INTERVAL_MILLIS);
         control.repeat(documents::refresh, RECORDS_INTERVAL_MILLIS);
     }
 
+    private MembershipController newMembership(ActorSystem<?> system, Clock clock, EventSink events) {
+        return new MembershipController(
+                new InstanceId(settings.instance()),
+                control,
+                new HttpInstanceListService(system, settings.instanceList(), PLATFORM_TIMEOUT_MILLIS),
+                peers,
+                domain -> 0,
+                agents -> directory().update(agents),
+                () -> wireServer().broadcastHello(),
+                clock,
+                events);
+    }
+
+    private WireServer wireServer() {
+        return wireServer;
+    }
+
     private Hello hello() {
         return Hello.newBuilder()
                 .setProtocolVersion(WireProtocol.VERSION)
                 .setInstance(settings.instance())
                 .setIncarnation(incarnation)
                 .setFailureDomain(settings.failureDomain())
+                .addAllMembers(membership.reports())
                 .build();
     }
 }
