--- a/core/src/main/java/org/jasminehub/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/jasminehub/core/admission/AdmissionController.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeSet;
 import org.jasminehub.core.error.ErrorCode;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.routing.WorkCost;
@@ -31,7 +32,7 @@
 public final class AdmissionController {
     private static final long REVIEW_INTERVAL_MILLIS = 50;
     private static final Comparator<QueuedWork> BY_LATEST_START =
-            Comparator.comparingLong(QueuedWork::latestStartMillis);
+            Comparator.comparingLong(QueuedWork::latestStartMillis).thenComparingLong(QueuedWork::sequence);
 
     private final Clock clock;
     private final AdmissionSettings settings;
@@ -41,6 +42,7 @@
     private final AnswerLength answerLength = new AnswerLength();
     private final DrainRate drainRate;
     private final Map<Long, QueuedWork> queued = new HashMap<>();
+    private final TreeSet<QueuedWork> byLatestStart = new TreeSet<>(BY_LATEST_START);
     private final Map<Long, QueuedWork> running = new HashMap<>();
     private EngineSpeed speed;
     private long nextSequence;
@@ -137,7 +139,7 @@
             if (next.isEmpty()) {
                 break;
             }
-            queued.remove(next.get().request().key());
+            forget(next.get());
             outcomes.add(start(next.get()));
         }
         return outcomes;
@@ -145,13 +147,11 @@
 
     /** Returns when {@link #advance} must be called at the latest, or {@link Long#MAX_VALUE}. */
     public synchronized long nextActionMillis() {
-        long latestStartMillis = queued.values().stream()
-                .mapToLong(QueuedWork::latestStartMillis)
-                .min()
-                .orElse(Long.MAX_VALUE - 1);
-        return queued.isEmpty()
-                ? Long.MAX_VALUE
-                : Math.min(latestStartMillis + 1, reviewedMillis + REVIEW_INTERVAL_MILLIS);
+        if (byLatestStart.isEmpty()) {
+            return Long.MAX_VALUE;
+        }
+        long lateMillis = byLatestStart.first().latestStartMillis() + 1;
+        return Math.min(lateMillis, reviewedMillis + REVIEW_INTERVAL_MILLIS);
     }
 
     /** Returns the tokens of work that wait. */
@@ -168,7 +168,13 @@
         long nowMillis = clock.monotonicMillis();
         boolean isReview = nowMillis - reviewedMillis >= REVIEW_INTERVAL_MILLIS;
         reviewedMillis = isReview ? nowMillis : reviewedMillis;
-        for (QueuedWork item : queue.items().stream().sorted(BY_LATEST_START).toList()) {
+        if (!isReview && (byLatestStart.isEmpty() || byLatestStart.first().latestStartMillis() >= nowMillis)) {
+            return;
+        }
+        for (QueuedWork item : List.copyOf(byLatestStart)) {
+            if (!isReview && item.latestStartMillis() >= nowMillis) {
+                break;
+            }
             double waitMillis = isReview ? waitMillis(item) : 0;
             double lateMillis = nowMillis + waitMillis - item.latestStartMillis();
             if (lateMillis > 0) {
@@ -185,7 +191,8 @@
     private QueuedWork toWork(AdmissionRequest request) {
         double answerTokens = answerLength.expectedTokens(request.maxAnswerTokens());
         long workTokens = WorkCost.tokens(request.promptTokens(), (long) answerTokens);
-        double serviceMillis = speed.serviceMillis(request.promptTokens(), answerTokens);
+        double serviceMillis =
+                speed.serviceMillis(request.promptTokens(), answerLength.longTokens(request.maxAnswerTokens()));
         long latestStartMillis = request.deadlineMillis() - (long) Math.ceil(serviceMillis);
         return new QueuedWork(request, workTokens, latestStartMillis, nextSequence++);
     }
@@ -213,10 +220,16 @@
     private void add(QueuedWork item) {
         queue.add(item);
         queued.put(item.request().key(), item);
+        byLatestStart.add(item);
     }
 
     private void remove(QueuedWork item) {
         queue.remove(item);
+        forget(item);
+    }
+
+    private void forget(QueuedWork item) {
         queued.remove(item.request().key());
+        byLatestStart.remove(item);
     }
 }
--- a/core/src/main/java/org/jasminehub/core/admission/DrainRate.java
+++ b/core/src/main/java/org/jasminehub/core/admission/DrainRate.java
@@ -4,6 +4,7 @@
 final class DrainRate {
     private static final long WINDOW_MILLIS = 2_000;
     private static final double GAIN = 0.5;
+    private static final double LARGE_CHANGE = 1.5;
 
     private double tokensPerMilli;
     private boolean isMeasured;
@@ -18,10 +19,13 @@
         return tokensPerMilli;
     }
 
-    /** Scales the rate when the engine's step time changes from {@code old}. */
+    /** Scales the rate when the engine's speed changes by much, and leaves smaller changes to be measured. */
     void adapt(EngineSpeed old, EngineSpeed present) {
-        tokensPerMilli *= present.tokensPerMilli() / old.tokensPerMilli();
-        windowStartMillis = -1;
+        double ratio = present.tokensPerMilli() / old.tokensPerMilli();
+        if (ratio < 1 / LARGE_CHANGE || ratio > LARGE_CHANGE) {
+            tokensPerMilli *= ratio;
+            windowStartMillis = -1;
+        }
     }
 
     /** Notes work that ended at {@code nowMillis}; {@code backlogged} tells whether other work waited meanwhile. */
--- a/core/src/main/java/org/jasminehub/core/admission/FairQueue.java
+++ b/core/src/main/java/org/jasminehub/core/admission/FairQueue.java
@@ -1,10 +1,8 @@
 package org.jasminehub.core.admission;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.jasminehub.core.document.Priority;
@@ -123,12 +121,6 @@
         return request.weight() / (others + request.weight());
     }
 
-    List<QueuedWork> items() {
-        List<QueuedWork> items = new ArrayList<>();
-        queues.values().forEach(queue -> queue.items().forEach(items::add));
-        return items;
-    }
-
     long queuedTokens() {
         return queuedTokens;
     }
--- a/core/src/main/java/org/jasminehub/core/admission/WorkspaceQueue.java
+++ b/core/src/main/java/org/jasminehub/core/admission/WorkspaceQueue.java
@@ -32,10 +32,6 @@
         return work.isEmpty();
     }
 
-    Iterable<QueuedWork> items() {
-        return work;
-    }
-
     QueuedWork first() {
         return work.first();
     }
--- a/core/src/main/java/org/jasminehub/core/routing/FirstTokenEstimate.java
+++ b/core/src/main/java/org/jasminehub/core/routing/FirstTokenEstimate.java
@@ -6,8 +6,9 @@
  * Estimates how long a request would wait for its first token at an endpoint.
  *
  * <p>The sum of the way there and back, the wait for a place in the batch, the reading of the prompt and one step. The
- * reported queue counts less as the report ages, and the fleet's median takes its place; work that this entry instance
- * sent since the report is added, times the number of entry instances, which send alike. Immutable.
+ * reported queue, with the work that this entry instance sent since, counts less as the report ages. The fleet's median
+ * takes its place, corrected by how far this entry instance's outstanding requests there differ from those elsewhere.
+ * Own work counts times the number of entry instances, which send alike. Immutable.
  */
 public final class FirstTokenEstimate {
     private static final double MILLIS_PER_SECOND = 1000;
@@ -48,13 +49,17 @@
     private double queueMillis(
             RoutingRequest request, EndpointState state, FleetMedian fleet, double trust, double stepMillis) {
         double capacity = trust > 0 ? Math.max(1, state.load().capacityRequests()) : fleet.capacityRequests();
-        double sentTokens = state.sentSinceTokens() * entryInstances;
-        double queuedTokens = trust * state.load().queuedTokens() + (1 - trust) * fleet.queuedTokens() + sentTokens;
-        double occupancy = trust * FleetMedian.occupancy(state) + (1 - trust) * fleet.occupancy();
-        double freePlaces = Math.max(0, 1 - occupancy) * capacity;
         double workTokens = WorkCost.tokens(request.promptTokens(), request.maxAnswerTokens());
-        double waitingTokens = Math.max(0, queuedTokens - freePlaces * workTokens);
-        double usedShare = Math.min(1, occupancy + sentTokens / (workTokens * capacity));
+        double reportedTokens = state.load().queuedTokens()
+                + state.sentSinceTokens() * entryInstances
+                + FleetMedian.occupancy(state) * capacity * workTokens;
+        double medianTokens = fleet.queuedTokens() + fleet.occupancy() * capacity * workTokens;
+        double ownDifference = state.outstandingRequests() - fleet.outstandingRequests();
+        double assumedTokens = medianTokens + ownDifference * entryInstances * workTokens;
+        double presentTokens = trust * reportedTokens + (1 - trust) * Math.max(0, assumedTokens);
+        double fullTokens = capacity * workTokens;
+        double waitingTokens = Math.max(0, presentTokens - fullTokens);
+        double usedShare = Math.min(1, presentTokens / fullTokens);
         return (waitingTokens / capacity + usedShare) * stepMillis;
     }
 
--- a/core/src/main/java/org/jasminehub/core/routing/FleetMedian.java
+++ b/core/src/main/java/org/jasminehub/core/routing/FleetMedian.java
@@ -11,6 +11,7 @@
  * @param queuedTokens tokens of work that wait
  * @param capacityRequests requests that can run at a time
  * @param occupancy the share of running requests in those that can run
+ * @param outstandingRequests requests of this entry instance that an endpoint has not finished
  * @param delayRatio how long first tokens took, relative to their estimates
  */
 record FleetMedian(
@@ -19,6 +20,7 @@
         double queuedTokens,
         double capacityRequests,
         double occupancy,
+        double outstandingRequests,
         double delayRatio) {
     private static final double DEFAULT_STEP_MILLIS = 30;
     private static final double DEFAULT_PREFILL_TOKENS_PER_SECOND = 10_000;
@@ -32,6 +34,7 @@
                 median(known, state -> state.load().queuedTokens(), 0),
                 median(known, state -> state.load().capacityRequests(), 1),
                 median(known, FleetMedian::occupancy, 0),
+                median(states, EndpointState::outstandingRequests, 0),
                 median(known, EndpointState::delayRatio, 1));
     }
 
