--- /dev/null
+++ b/agent/src/main/java/org/jasminehub/agent/call/MetricsFilter.java
@@ -0,0 +1,27 @@
+package org.jasminehub.agent.call;
+
+import com.codahale.metrics.MetricRegistry;
+
+/**
+ * Counts calls by how they ended and shows how many run.
+ *
+ * <p>Metrics: {@code agent.calls.RESULT} (meter) and {@code agent.running} (counter). Safe for use by several threads.
+ */
+public final class MetricsFilter implements CallFilter {
+    private final MetricRegistry metrics;
+
+    /** Creates a filter that reports to {@code metrics}. */
+    public MetricsFilter(MetricRegistry metrics) {
+        this.metrics = metrics;
+    }
+
+    @Override
+    public void handle(AgentCall call, CallHandler next) {
+        metrics.counter("agent.running").inc();
+        call.whenEnded(result -> {
+            metrics.counter("agent.running").dec();
+            metrics.meter("agent.calls." + result).mark();
+        });
+        next.handle(call);
+    }
+}
--- a/app/src/main/java/org/jasminehub/app/BenchCommand.java
+++ b/app/src/main/java/org/jasminehub/app/BenchCommand.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import org.jasminehub.app.demo.PathBench;
 import org.jasminehub.bench.documents.DocumentsBench;
 
 /** Runs a measurement and prints its table. */
@@ -21,6 +22,7 @@
     BenchCommand(PrintStream out) {
         this.out = out;
         benches.put("documents", DocumentsBench::run);
+        benches.put("path", PathBench::run);
     }
 
     @Override
--- /dev/null
+++ b/app/src/main/java/org/jasminehub/app/demo/PathBench.java
@@ -0,0 +1,134 @@
+package org.jasminehub.app.demo;
+
+import com.sun.management.OperatingSystemMXBean;
+import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+import org.jasminehub.app.ProcessRuntime;
+import org.jasminehub.standin.EngineStandin;
+
+/**
+ * Measures what entry instance and agent add to a call of an engine, against the direct call in the same run.
+ *
+ * <pre>{@code
+ * PathBench.run(System.out);
+ * }</pre>
+ */
+public final class PathBench {
+    private static final int WARM_UP_REQUESTS = 3_000;
+    private static final int MEASURED_REQUESTS = 6_000;
+    private static final int CALLERS = 4;
+    private static final int ROUNDS = 3;
+    private static final int STATUS_OK = 200;
+    private static final long MAX_MICROS = 60_000_000;
+    private static final int DIGITS = 3;
+    private static final double NANOS_PER_MICRO = 1_000;
+    private static final double MICROS_PER_SECOND = 1_000_000;
+    private static final double MEDIAN = 50;
+    private static final double HIGH = 99;
+    private static final String BODY = "{\"model\":\"campaign-text\",\"max_tokens\":8,"
+            + "\"messages\":[{\"role\":\"user\",\"content\":\"draft a caption\"}]}";
+
+    private final HttpClient client = HttpClient.newHttpClient();
+    private final OperatingSystemMXBean machine = (OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
+
+    private PathBench() {}
+
+    /** Starts the demo, measures and prints a table. */
+    public static void run(PrintStream out) {
+        try (ProcessRuntime runtime = new ProcessRuntime("bench");
+                Demo demo = new Demo(runtime, 0)) {
+            demo.awaitReady();
+            demo.engines().forEach(engine -> engine.setStepMillis(0));
+            new PathBench().measure(out, demo);
+        }
+    }
+
+    private void measure(PrintStream out, Demo demo) {
+        EngineStandin engine = demo.engines().get(0);
+        String direct = engine.address().toUrl();
+        String through = "http://" + demo.entryAddresses().get(0);
+        out.println(CALLERS + " callers, " + MEASURED_REQUESTS + " requests a row, everything in one process");
+        out.println("path     p50 us   p99 us   requests/s   processor us/request");
+        load(direct, WARM_UP_REQUESTS);
+        load(through, WARM_UP_REQUESTS);
+        List<Row> directRows = new ArrayList<>();
+        List<Row> throughRows = new ArrayList<>();
+        for (int round = 0; round < ROUNDS; round++) {
+            directRows.add(print(out, "direct", load(direct, MEASURED_REQUESTS)));
+            throughRows.add(print(out, "through", load(through, MEASURED_REQUESTS)));
+        }
+        double added = mean(throughRows) - mean(directRows);
+        out.printf(
+                Locale.ROOT,
+                "entry instance and agent together: %.0f us of a processor a request, %.0f requests/s a core%n",
+                added,
+                MICROS_PER_SECOND / added);
+    }
+
+    private static double mean(List<Row> rows) {
+        return rows.stream().mapToDouble(Row::processorMicros).average().orElse(0);
+    }
+
+    private static Row print(PrintStream out, String path, Row row) {
+        out.printf(
+                Locale.ROOT,
+                "%-8s %6d   %6d   %10.0f   %12.0f%n",
+                path,
+                row.latencyMicros().getValueAtPercentile(MEDIAN),
+                row.latencyMicros().getValueAtPercentile(HIGH),
+                row.requestsPerSecond(),
+                row.processorMicros());
+        return row;
+    }
+
+    private Row load(String url, int requests) {
+        Histogram latencyMicros = new ConcurrentHistogram(MAX_MICROS, DIGITS);
+        HttpRequest request = HttpRequest.newBuilder(URI.create(url + "/v1/chat/completions"))
+                .header("X-Workspace", "brand-managers")
+                .POST(HttpRequest.BodyPublishers.ofString(BODY))
+                .build();
+        long processorNanos = machine.getProcessCpuTime();
+        long startNanos = System.nanoTime();
+        runCallers(request, requests / CALLERS, latencyMicros);
+        double wallMicros = (System.nanoTime() - startNanos) / NANOS_PER_MICRO;
+        double processorMicros = (machine.getProcessCpuTime() - processorNanos) / NANOS_PER_MICRO;
+        return new Row(latencyMicros, requests * MICROS_PER_SECOND / wallMicros, processorMicros / requests);
+    }
+
+    private void runCallers(HttpRequest request, int requestsEach, Histogram latencyMicros) {
+        ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
+        List<CompletableFuture<Void>> running = new ArrayList<>();
+        for (int i = 0; i < CALLERS; i++) {
+            running.add(CompletableFuture.runAsync(() -> call(request, requestsEach, latencyMicros), callers));
+        }
+        running.forEach(CompletableFuture::join);
+        callers.shutdown();
+    }
+
+    private void call(HttpRequest request, int count, Histogram latencyMicros) {
+        for (int i = 0; i < count; i++) {
+            long startNanos = System.nanoTime();
+            HttpResponse<String> response = client.sendAsync(request, HttpResponse.BodyHandlers.ofString())
+                    .join();
+            if (response.statusCode() != STATUS_OK) {
+                throw new BenchException("answer " + response.statusCode() + ": " + response.body());
+            }
+            latencyMicros.recordValue((long) ((System.nanoTime() - startNanos) / NANOS_PER_MICRO));
+        }
+    }
+
+    /** One row of the table. */
+    private record Row(Histogram latencyMicros, double requestsPerSecond, double processorMicros) {}
+}
--- /dev/null
+++ b/entry/src/main/java/org/jasminehub/entry/filter/MetricsFilter.java
@@ -0,0 +1,46 @@
+package org.jasminehub.entry.filter;
+
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import org.jasminehub.core.error.ErrorCode;
+import org.jasminehub.core.error.RequestException;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Measures the time to the head of each answer and counts failures by their code.
+ *
+ * <p>Metrics: {@code entry.requests.KIND} (timer) and {@code entry.failures.CODE} (counter). Safe for use by several
+ * threads.
+ */
+public final class MetricsFilter implements RequestFilter {
+    private final MetricRegistry metrics;
+
+    /** Creates a filter that reports to {@code metrics}. */
+    public MetricsFilter(MetricRegistry metrics) {
+        this.metrics = metrics;
+    }
+
+    @Override
+    public CompletionStage<Answer> handle(RequestContext context, RequestHandler next) {
+        Timer.Context timer =
+                metrics.timer("entry.requests." + context.route().kind()).time();
+        return next.handle(context).whenComplete((answer, failure) -> {
+            timer.stop();
+            count(failure);
+        });
+    }
+
+    private void count(@Nullable Throwable failure) {
+        if (failure != null) {
+            metrics.counter("entry.failures." + codeOf(failure).code()).inc();
+        }
+    }
+
+    private static ErrorCode codeOf(Throwable failure) {
+        Throwable cause =
+                failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
+        return cause instanceof RequestException known ? known.code() : ErrorCode.INTERNAL;
+    }
+}
