--- a/entry/src/main/java/org/jasminehub/entry/EntryInstance.java
+++ b/entry/src/main/java/org/jasminehub/entry/EntryInstance.java
@@ -55,9 +55,9 @@
     private final long incarnation;
     private final ControlThread control = new ControlThread();
     private final MembershipController membership;
-    private final PeerLinks peers;
+    private final PeerLinks peerLinks;
     private final EndpointDirectory directory;
-    private final WirePeerClient recordPeers;
+    private final WirePeerClient peerRecords;
     private final WireServer wireServer;
     private final CallerServer callerServer;
 
@@ -71,10 +71,10 @@
             EventSink events) {
         this.settings = settings;
         this.incarnation = clock.wallMillis();
-        this.peers = new PeerLinks(group, this::hello);
+        this.peerLinks = new PeerLinks(group, this::hello);
         this.membership = newMembership(system, clock, events);
         this.directory = new EndpointDirectory(group, this::hello, clock, membership);
-        this.recordPeers = new WirePeerClient(group, this::hello);
+        this.peerRecords = new WirePeerClient(group, this::hello);
         DocumentController documents = documentController(system, ids, clock, events);
         ControlRouter router = new ControlRouter();
         router.on(ControlRequest.BodyCase.RECORDS, documents::onRequest);
@@ -132,9 +132,9 @@
         control.close();
         callerServer.close();
         wireServer.close();
-        recordPeers.close();
+        peerRecords.close();
         directory.close();
-        peers.close();
+        peerLinks.close();
     }
 
     private DocumentController documentController(
@@ -147,7 +147,7 @@
                 control,
                 () -> control.state().members(),
                 new HttpLogService(system, settings.log(), PLATFORM_TIMEOUT_MILLIS),
-                recordPeers,
+                peerRecords,
                 () -> ids.get().value(),
                 clock,
                 events,
@@ -163,9 +163,10 @@
     private MembershipController newMembership(ActorSystem<?> system, Clock clock, EventSink events) {
         return new MembershipController(
                 new InstanceId(settings.instance()),
+                this::hello,
                 control,
                 new HttpInstanceListService(system, settings.instanceList(), PLATFORM_TIMEOUT_MILLIS),
-                peers,
+                peerLinks,
                 domain -> 0,
                 agents -> directory().update(agents),
                 () -> wireServer().broadcastHello(),
