--- a/agent/src/main/java/org/jasminehub/agent/lease/FencingNumberReader.java
+++ b/agent/src/main/java/org/jasminehub/agent/lease/FencingNumberReader.java
@@ -13,8 +13,10 @@
 import org.jasminehub.platform.log.LogService;
 
 /**
- * Reads the platform's log from its first record to its end, once after the agent's start, and teaches the gate the
- * lowest valid numbers.
+ * Reads the end of the platform's log, once after the agent's start, and teaches the gate the lowest valid numbers.
+ *
+ * <p>The holder of a live lease has renewed it within the lease's duration, so a window of records that is longer than
+ * that at the log's highest rate shows every live lease, and the log's length does not matter.
  *
  * <p>While the log is down nothing is learnt, so no order is taken; no lease can be renewed then either.
  *
@@ -24,6 +26,7 @@
  */
 public final class FencingNumberReader {
     private static final int MAX_RECORDS = 256;
+    private static final int WINDOW_RECORDS = 10_000;
     private static final int NO_WAIT_MILLIS = 0;
 
     private final LogService log;
@@ -40,8 +43,13 @@
 
     /** Reads to the end that the log has now; the stage fails where the log does, and the caller may try again. */
     public CompletionStage<Void> read() {
-        return log.read(0, MAX_RECORDS, NO_WAIT_MILLIS)
-                .thenCompose(page -> readOn(new LeaseTable(page.firstOffset()), page, page.nextOffset()));
+        return log.read(0, 1, NO_WAIT_MILLIS).thenCompose(this::readWindow);
+    }
+
+    private CompletionStage<Void> readWindow(LogPage bounds) {
+        long startOffset = Math.max(bounds.firstOffset(), bounds.nextOffset() - WINDOW_RECORDS);
+        return log.read(startOffset, MAX_RECORDS, NO_WAIT_MILLIS)
+                .thenCompose(page -> readOn(new LeaseTable(startOffset), page, bounds.nextOffset()));
     }
 
     private CompletionStage<Void> readOn(LeaseTable table, LogPage page, long endOffset) {
--- a/app/src/main/java/org/jasminehub/app/BenchCommand.java
+++ b/app/src/main/java/org/jasminehub/app/BenchCommand.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import org.jasminehub.bench.capacity.CapacityBench;
 
 /** Runs a measurement and prints its table. */
 @Parameters(commandDescription = "runs a measurement and prints its table")
@@ -19,6 +20,7 @@
 
     BenchCommand(PrintStream out) {
         this.out = out;
+        benches.put("capacity", CapacityBench::run);
     }
 
     @Override
--- a/bench/src/main/java/org/jasminehub/bench/capacity/CpuSlopes.java
+++ b/bench/src/main/java/org/jasminehub/bench/capacity/CpuSlopes.java
@@ -9,7 +9,12 @@
 import java.util.stream.Collectors;
 import org.jasminehub.core.address.EndpointSubsetPolicy;
 import org.jasminehub.core.document.DocumentYamlAdapter;
+import org.jasminehub.core.history.HistoryRecordCodec;
+import org.jasminehub.core.history.HistoryReplay;
+import org.jasminehub.core.history.HistoryState;
+import org.jasminehub.core.history.OffsetRecord;
 import org.jasminehub.core.identity.InstanceId;
+import org.jasminehub.core.identity.TeamId;
 import org.jasminehub.core.lease.LeaseAction;
 import org.jasminehub.core.lease.LeaseRecord;
 import org.jasminehub.core.lease.LeaseRecordCodec;
@@ -45,6 +50,7 @@
         slopes.add(ring());
         slopes.add(leaseRecord());
         slopes.add(documentRecord());
+        slopes.add(publishRecord());
         slopes.add(order());
         return slopes;
     }
@@ -117,6 +123,23 @@
         return slope("CPU for each document of 10 workspaces (parse)", 2_000, i -> adapter.read(texts.get(i % 100)));
     }
 
+    private static Slope publishRecord() {
+        HistoryRecordCodec codec = new HistoryRecordCodec();
+        HistoryReplay replay = new HistoryReplay(new DocumentYamlAdapter());
+        List<OffsetRecord> first = new ArrayList<>();
+        for (int team = 0; team < Fleet.TEAMS; team++) {
+            byte[] payload = codec.encode(SampleDocument.publish(team, HistoryState.NO_VERSION));
+            first.add(new OffsetRecord(team, payload));
+        }
+        replay.applyLogPage(0, first);
+        return slope("CPU for each publish (decode, replay, 730 teams)", 2_000, i -> {
+            int team = i % Fleet.TEAMS;
+            long base = replay.state().version(new TeamId("team-" + team));
+            byte[] payload = codec.encode(SampleDocument.publish(team, base));
+            replay.applyLogPage(0, List.of(new OffsetRecord(replay.nextOffset(), payload)));
+        });
+    }
+
     private static Slope order() {
         OrderGate gate = new OrderGate(1, event -> {});
         gate.learn(SHARD, 0);
--- a/bench/src/main/java/org/jasminehub/bench/capacity/Fleet.java
+++ b/bench/src/main/java/org/jasminehub/bench/capacity/Fleet.java
@@ -16,6 +16,8 @@
     static final int AGENTS = 5_800;
     static final int FAILURE_DOMAINS = 13;
     static final int MODELS = 4;
+    /** Teams with ten workspaces each. */
+    static final int TEAMS = 730;
 
     private Fleet() {}
 
--- a/bench/src/main/java/org/jasminehub/bench/capacity/MessageSizes.java
+++ b/bench/src/main/java/org/jasminehub/bench/capacity/MessageSizes.java
@@ -1,17 +1,22 @@
 package org.jasminehub.bench.capacity;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.protobuf.MessageLite;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import org.jasminehub.core.history.HistoryRecordCodec;
 import org.jasminehub.core.identity.InstanceId;
 import org.jasminehub.core.lease.LeaseAction;
 import org.jasminehub.core.lease.LeaseRecord;
 import org.jasminehub.core.lease.LeaseRecordCodec;
 import org.jasminehub.core.lease.ShardId;
+import org.jasminehub.platform.list.MemberJson;
 import org.jasminehub.wire.generated.ControlRequest;
 import org.jasminehub.wire.generated.EndpointLoad;
 import org.jasminehub.wire.generated.Envelope;
 import org.jasminehub.wire.generated.Hello;
+import org.jasminehub.wire.generated.MemberReport;
 import org.jasminehub.wire.generated.OrderKind;
 import org.jasminehub.wire.generated.OrderRequest;
 import org.jasminehub.wire.generated.VersionInForce;
@@ -35,6 +40,12 @@
                 size("bytes of a load report (EndpointLoad)", load),
                 size("bytes of an order (OrderRequest)", control(order())),
                 size("bytes of a team's version in a status", version),
+                size("bytes of the news of one member (MemberReport)", report()),
+                new Slope("bytes of a member in the list's JSON", listBytes(), "bytes"),
+                new Slope(
+                        "bytes of a publish record of 10 workspaces",
+                        new HistoryRecordCodec().encode(SampleDocument.publish(730, OFFSET)).length,
+                        "bytes"),
                 new Slope("bytes of a lease record", leaseRecord().length, "bytes"),
                 new Slope(
                         "bytes of a document of 10 workspaces (text)",
@@ -83,6 +94,23 @@
                 .build();
     }
 
+    private static MemberReport report() {
+        return MemberReport.newBuilder()
+                .setInstance("agent-instance-5799")
+                .setIncarnation(INCARNATION)
+                .setLeaving(true)
+                .build();
+    }
+
+    private static double listBytes() {
+        try {
+            List<MemberJson> members = Fleet.all().stream().map(MemberJson::of).toList();
+            return new ObjectMapper().writeValueAsBytes(members).length / (double) members.size();
+        } catch (JsonProcessingException e) {
+            throw new BenchException(e);
+        }
+    }
+
     private static byte[] leaseRecord() {
         return new LeaseRecordCodec()
                 .encode(new LeaseRecord(
--- a/bench/src/main/java/org/jasminehub/bench/capacity/SampleDocument.java
+++ b/bench/src/main/java/org/jasminehub/bench/capacity/SampleDocument.java
@@ -2,6 +2,7 @@
 
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.jasminehub.core.history.PublishRecord;
 
 /** A team's document with ten workspaces and three routes. */
 final class SampleDocument {
@@ -20,6 +21,17 @@
                 + "experts: {skewWeight: 1.0, moveWeight: 2.0}\n";
     }
 
+    static PublishRecord publish(int team, long baseVersion) {
+        return new PublishRecord(
+                "team-" + team,
+                baseVersion,
+                "0123456789abcdef0123456789abcdef",
+                "operator-17",
+                "raise the limit of the campaign week",
+                1_700_000_000_000L,
+                yaml(team));
+    }
+
     private static String workspace(int team, int number) {
         return "  - {name: workspace-" + team + "-" + number + ", weight: 2, requestsPerSecond: 30, "
                 + "tokensPerSecond: 12000, concurrentRequests: 40}\n";
--- a/core/src/main/java/org/jasminehub/core/membership/MembershipSettings.java
+++ b/core/src/main/java/org/jasminehub/core/membership/MembershipSettings.java
@@ -14,7 +14,7 @@
         ListDoubtRule listDoubt, long silenceMillis, long factRetentionMillis, int sendsPerFact) {
     /** The settings in use. */
     public static final MembershipSettings STANDARD =
-            new MembershipSettings(ListDoubtRule.STANDARD, 6_000, 24 * 3_600_000L, 24);
+            new MembershipSettings(ListDoubtRule.STANDARD, 6_000, 24 * 3_600_000L, 3);
 
     /** Creates checked settings. */
     public MembershipSettings {
--- a/entry/src/main/java/org/jasminehub/entry/control/members/MembershipController.java
+++ b/entry/src/main/java/org/jasminehub/entry/control/members/MembershipController.java
@@ -108,10 +108,16 @@
 
     @Override
     public void onBroken(InstanceId instance) {
-        control.execute(() -> {
-            view.linkBroken(instance);
+        control.execute(() -> breakLink(instance));
+    }
+
+    /** Publishes a change only, as each publishing opens lost connections again and a refused one breaks at once. */
+    private void breakLink(InstanceId instance) {
+        boolean tookWork = takesNewWork(instance);
+        view.linkBroken(instance);
+        if (tookWork != takesNewWork(instance)) {
             publish();
-        });
+        }
     }
 
     private void accept(List<Member> members) {
