--- a/app/src/main/java/org/jasminehub/app/BenchCommand.java
+++ b/app/src/main/java/org/jasminehub/app/BenchCommand.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.jasminehub.bench.capacity.CapacityBench;
+import org.jasminehub.bench.documents.DocumentsBench;
 
 /** Runs a measurement and prints its table. */
 @Parameters(commandDescription = "runs a measurement and prints its table")
@@ -21,6 +22,7 @@
     BenchCommand(PrintStream out) {
         this.out = out;
         benches.put("capacity", CapacityBench::run);
+        benches.put("documents", DocumentsBench::run);
     }
 
     @Override
--- a/entry/src/main/java/org/jasminehub/entry/EntryInstance.java
+++ b/entry/src/main/java/org/jasminehub/entry/EntryInstance.java
@@ -12,12 +12,17 @@
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.entry.control.ControlState;
 import org.jasminehub.entry.control.ControlThread;
-import org.jasminehub.entry.control.DocumentController;
+import org.jasminehub.entry.control.documents.DocumentController;
+import org.jasminehub.entry.control.documents.DocumentSettings;
+import org.jasminehub.entry.control.documents.WirePeerClient;
 import org.jasminehub.entry.control.members.MembershipController;
 import org.jasminehub.entry.control.members.PeerLinks;
 import org.jasminehub.entry.endpoint.EndpointDirectory;
 import org.jasminehub.entry.filter.RequestFilter;
 import org.jasminehub.entry.filter.RequestHandler;
+import org.jasminehub.entry.filter.operation.HomeTableController;
+import org.jasminehub.entry.filter.operation.OperationFilter;
+import org.jasminehub.entry.filter.operation.OperationKeyPage;
 import org.jasminehub.entry.http.CallerServer;
 import org.jasminehub.entry.http.CallerServerFactory;
 import org.jasminehub.entry.relay.RelayHandler;
@@ -28,6 +33,7 @@
 import org.jasminehub.wire.WireProtocol;
 import org.jasminehub.wire.WireServer;
 import org.jasminehub.wire.generated.AnswerRefused;
+import org.jasminehub.wire.generated.ControlRequest;
 import org.jasminehub.wire.generated.Hello;
 
 /**
@@ -45,14 +51,19 @@
     private static final int ADDRESSES_PER_WORKSPACE = 3;
     private static final int PLATFORM_TIMEOUT_MILLIS = 3_000;
     private static final long HEARTBEAT_INTERVAL_MILLIS = 2_000;
+    private static final long LOG_RETENTION_MILLIS = 86_400_000;
+    private static final long RECORDS_INTERVAL_MILLIS = 1_000;
     private static final long LOG_RETRY_INTERVAL_MILLIS = 250;
+    private static final long HOME_ROUND_MILLIS = 500;
 
     private final EntrySettings settings;
     private final long incarnation;
     private final ControlThread control = new ControlThread();
     private final MembershipController membership;
-    private final PeerLinks peers;
+    private final PeerLinks peerLinks;
     private final EndpointDirectory directory;
+    private final WirePeerClient peerRecords;
+    private final HomeTableController homes;
     private final WireServer wireServer;
     private final CallerServer callerServer;
 
@@ -66,20 +77,27 @@
             EventSink events) {
         this.settings = settings;
         this.incarnation = clock.wallMillis();
-        this.peers = new PeerLinks(group, this::hello);
+        this.peerLinks = new PeerLinks(group, this::hello);
         this.membership = newMembership(system, clock, events);
         this.directory = new EndpointDirectory(group, this::hello, clock, membership);
+        this.peerRecords = new WirePeerClient(group, this::hello);
+        DocumentController documents = documentController(system, ids, clock, events);
+        ControlRouter router = new ControlRouter();
+        router.on(ControlRequest.BodyCase.RECORDS, documents::onRequest);
         this.wireServer = WireServer.start(
                 group,
                 settings.host(),
                 settings.wirePort(),
                 this::hello,
                 call -> call.refuse(AnswerRefused.newBuilder().setCode("protocol-violation")),
-                new ControlRouter(),
+                router,
                 events);
         RelayHandler relay = new RelayHandler(
                 system, new FailureDomain(settings.failureDomain()), directory, new RoundRobinPolicy(), clock, events);
-        RequestHandler chain = RequestFilter.chain(List.of(), relay);
+        HttpLogService log = new HttpLogService(system, settings.log(), PLATFORM_TIMEOUT_MILLIS);
+        this.homes = new HomeTableController(new InstanceId(settings.instance()), control, log, directory);
+        OperationFilter operations = new OperationFilter(directory, homes, clock, events);
+        RequestHandler chain = RequestFilter.chain(List.of(operations), operations.terminal(relay));
         this.callerServer = new CallerServerFactory(
                         system,
                         settings,
@@ -88,8 +106,8 @@
                         ids,
                         clock,
                         events)
-                .start(chain);
-        startControllers(system);
+                .start(chain, new OperationKeyPage(directory));
+        startControllers(documents);
     }
 
     /** Returns the port that callers connect to. */
@@ -117,22 +135,45 @@
         return directory;
     }
 
+    /** Returns the homes of operation keys that it knows. */
+    public HomeTableController homes() {
+        return homes;
+    }
+
     /** Stops at once; requests that run are cut. */
     @Override
     public void close() {
         control.close();
         callerServer.close();
         wireServer.close();
+        peerRecords.close();
         directory.close();
-        peers.close();
+        peerLinks.close();
+    }
+
+    private DocumentController documentController(
+            ActorSystem<?> system, Supplier<RequestId> ids, Clock clock, EventSink events) {
+        return new DocumentController(
+                new DocumentSettings(
+                        new InstanceId(settings.instance()),
+                        new FailureDomain(settings.failureDomain()),
+                        LOG_RETENTION_MILLIS),
+                control,
+                () -> control.state().members(),
+                new HttpLogService(system, settings.log(), PLATFORM_TIMEOUT_MILLIS),
+                peerRecords,
+                () -> ids.get().value(),
+                clock,
+                events,
+                (inForce, isServing) -> control.update(state -> state.withDocuments(inForce, isServing)));
     }
 
-    private void startControllers(ActorSystem<?> system) {
-        DocumentController documents =
-                new DocumentController(control, new HttpLogService(system, settings.log(), PLATFORM_TIMEOUT_MILLIS));
+    private void startControllers(DocumentController documents) {
         control.repeat(membership::refresh, settings.listIntervalMillis());
         control.repeat(membership::beat, HEARTBEAT_INTERVAL_MILLIS);
-        control.repeat(documents::refresh, LOG_RETRY_INTERVAL_MILLIS);
+        control.repeat(documents::refresh, RECORDS_INTERVAL_MILLIS);
+        control.repeat(homes::refresh, LOG_RETRY_INTERVAL_MILLIS);
+        control.repeat(homes::keep, HOME_ROUND_MILLIS);
     }
 
     private MembershipController newMembership(ActorSystem<?> system, Clock clock, EventSink events) {
@@ -141,7 +182,7 @@
                 this::hello,
                 control,
                 new HttpInstanceListService(system, settings.instanceList(), PLATFORM_TIMEOUT_MILLIS),
-                peers,
+                peerLinks,
                 domain -> 0,
                 agents -> directory().update(agents),
                 () -> wireServer().broadcastHello(),
