--- a/app/src/main/java/org/jasminehub/app/BenchCommand.java
+++ b/app/src/main/java/org/jasminehub/app/BenchCommand.java
@@ -21,6 +21,7 @@
 
     BenchCommand(PrintStream out) {
         this.out = out;
+        benches.put("capacity", CapacityBench::run);
         benches.put("documents", DocumentsBench::run);
         benches.put("path", PathBench::run);
     }
