Admission in the agent, limits and retry budgets in the entry instance

Cause: the whole path took any amount of work and retried without a budget. Ruled out: retries decided in the relay session (no budget, so failures of all endpoints multiply); admission of engines only (plain services overload too). Change: AdmissionFilter as the last step of the agent's chain, its queue added to each load report; LimitFilter as the first step of the entry's chain, with fixed shares over the addresses that callers get; RelaySession asks RetryPolicy; the entry instance chooses by FirstTokenPolicy with two samples. Conclusion: shares are fixed so far: lending is decided in core but no message carries it yet. Prefix hints, delays and ejection are not wired yet either.

--- a/agent/src/main/java/org/jasminehub/agent/Agent.java
+++ b/agent/src/main/java/org/jasminehub/agent/Agent.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletionStage;
 import org.apache.pekko.actor.Cancellable;
 import org.apache.pekko.actor.typed.ActorSystem;
+import org.jasminehub.agent.admission.AdmissionFilter;
 import org.jasminehub.agent.call.AgentCall;
 import org.jasminehub.agent.call.CallFilter;
 import org.jasminehub.agent.call.CallHandler;
@@ -15,6 +16,7 @@
 import org.jasminehub.agent.engine.EndpointClient;
 import org.jasminehub.agent.engine.EndpointRelay;
 import org.jasminehub.agent.engine.LoadReporter;
+import org.jasminehub.core.admission.AdmissionSettings;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.membership.TargetKind;
 import org.jasminehub.core.time.Clock;
@@ -49,6 +51,7 @@
     private final RunningCalls running = new RunningCalls();
     private final WireServer server;
     private final Cancellable loadTimer;
+    private final Cancellable admissionTimer;
 
     /** Starts an agent; its incarnation is the clock's wall time. */
     public Agent(AgentSettings settings, ActorSystem<?> system, WireGroup group, Clock clock, EventSink events) {
@@ -58,7 +61,8 @@
         boolean isModel = settings.target().kind() == TargetKind.MODEL;
         EndpointClient client = new EndpointClient(system, settings.endpoint());
         EndpointRelay relay = new EndpointRelay(system, client, isModel, events);
-        CallHandler chain = CallFilter.chain(List.of(running, leaving, versions), relay);
+        AdmissionFilter admission = new AdmissionFilter(clock, AdmissionSettings.defaults(), events);
+        CallHandler chain = CallFilter.chain(List.of(running, leaving, versions, admission), relay);
         this.server = WireServer.start(
                 group,
                 settings.host(),
@@ -67,11 +71,18 @@
                 incoming -> chain.handle(new AgentCall(incoming, this.clock.monotonicMillis())),
                 controlRouter(),
                 events);
-        LoadReporter reporter =
-                new LoadReporter(system, client, isModel, () -> !leaving.isLeaving(), server::broadcastLoad);
+        LoadReporter reporter = new LoadReporter(
+                system,
+                client,
+                isModel,
+                () -> !leaving.isLeaving(),
+                load -> server.broadcastLoad(admission.onLoad(load)));
         Duration interval = Duration.ofMillis(settings.loadIntervalMillis());
         this.loadTimer =
                 system.scheduler().scheduleAtFixedRate(interval, interval, reporter::report, system.executionContext());
+        Duration advance = Duration.ofMillis(AdmissionFilter.ADVANCE_INTERVAL_MILLIS);
+        this.admissionTimer =
+                system.scheduler().scheduleAtFixedRate(advance, advance, admission::advance, system.executionContext());
     }
 
     /** Returns the port that entry instances connect to. */
@@ -94,6 +105,7 @@
     @Override
     public void close() {
         loadTimer.cancel();
+        admissionTimer.cancel();
         server.close();
     }
 
--- a/core/src/main/java/org/jasminehub/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/jasminehub/core/admission/AdmissionController.java
@@ -103,11 +103,18 @@
         }
     }
 
-    /** Notes that a started request has ended with an answer of {@code answerTokens}, and starts what waits. */
+    /**
+     * Notes that a started request has ended, and starts what waits.
+     *
+     * @param key the request's key
+     * @param answerTokens the answer's length, negative where it is not known
+     */
     public synchronized List<AdmissionOutcome> finished(long key, long answerTokens) {
         QueuedWork item = running.remove(key);
         if (item != null) {
-            answerLength.record(answerTokens, item.request().maxAnswerTokens());
+            if (answerTokens >= 0) {
+                answerLength.record(answerTokens, item.request().maxAnswerTokens());
+            }
             drainRate.finished(clock.monotonicMillis(), item.workTokens(), !queue.isEmpty());
         }
         return advance();
--- a/core/src/main/java/org/jasminehub/core/retry/RetryPolicy.java
+++ b/core/src/main/java/org/jasminehub/core/retry/RetryPolicy.java
@@ -29,6 +29,7 @@
             ErrorCode.DEADLINE_UNREACHABLE,
             ErrorCode.ENDPOINT_FAILED,
             ErrorCode.ANSWER_CUT,
+            ErrorCode.PROTOCOL_VIOLATION,
             ErrorCode.LEAVING,
             ErrorCode.NOT_READY,
             ErrorCode.DOCUMENT_OUTDATED);
--- a/entry/src/main/java/org/jasminehub/entry/EntryInstance.java
+++ b/entry/src/main/java/org/jasminehub/entry/EntryInstance.java
@@ -1,6 +1,7 @@
 package org.jasminehub.entry;
 
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Supplier;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.jasminehub.core.address.AddressPolicy;
@@ -8,7 +9,12 @@
 import org.jasminehub.core.identity.FailureDomain;
 import org.jasminehub.core.identity.InstanceId;
 import org.jasminehub.core.identity.RequestId;
-import org.jasminehub.core.routing.RoundRobinPolicy;
+import org.jasminehub.core.limit.LimitSettings;
+import org.jasminehub.core.membership.MemberRole;
+import org.jasminehub.core.routing.EndpointPolicy;
+import org.jasminehub.core.routing.FirstTokenEstimate;
+import org.jasminehub.core.routing.FirstTokenPolicy;
+import org.jasminehub.core.routing.NetworkDistance;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.entry.control.ControlState;
 import org.jasminehub.entry.control.ControlThread;
@@ -20,6 +26,8 @@
 import org.jasminehub.entry.endpoint.EndpointDirectory;
 import org.jasminehub.entry.filter.RequestFilter;
 import org.jasminehub.entry.filter.RequestHandler;
+import org.jasminehub.entry.filter.limit.AddressShareViewSource;
+import org.jasminehub.entry.filter.limit.LimitFilter;
 import org.jasminehub.entry.http.CallerServer;
 import org.jasminehub.entry.http.CallerServerFactory;
 import org.jasminehub.entry.relay.RelayHandler;
@@ -46,6 +54,9 @@
  */
 public final class EntryInstance implements AutoCloseable {
     private static final int ADDRESSES_PER_WORKSPACE = 3;
+    private static final double ACROSS_DOMAINS_MILLIS = 1.5;
+    private static final double REPORT_HALF_LIFE_MILLIS = 2_000;
+    private static final int SAMPLED_ENDPOINTS = 2;
     private static final int PLATFORM_TIMEOUT_MILLIS = 3_000;
     private static final long HEARTBEAT_INTERVAL_MILLIS = 2_000;
     private static final long LOG_RETENTION_MILLIS = 86_400_000;
@@ -87,8 +98,8 @@
                 router,
                 events);
         RelayHandler relay = new RelayHandler(
-                system, new FailureDomain(settings.failureDomain()), directory, new RoundRobinPolicy(), clock, events);
-        RequestHandler chain = RequestFilter.chain(List.of(), relay);
+                system, new FailureDomain(settings.failureDomain()), directory, newPolicy(), clock, events);
+        RequestHandler chain = RequestFilter.chain(List.of(limitFilter(clock)), relay);
         this.callerServer = new CallerServerFactory(
                         system,
                         settings,
@@ -137,6 +148,23 @@
         peerLinks.close();
     }
 
+    private EndpointPolicy newPolicy() {
+        FirstTokenEstimate estimate = new FirstTokenEstimate(
+                NetworkDistance.uniform(ACROSS_DOMAINS_MILLIS), REPORT_HALF_LIFE_MILLIS, ADDRESSES_PER_WORKSPACE);
+        return new FirstTokenPolicy(
+                estimate, SAMPLED_ENDPOINTS, () -> ThreadLocalRandom.current().nextLong());
+    }
+
+    private LimitFilter limitFilter(Clock clock) {
+        return new LimitFilter(
+                clock,
+                LimitSettings.defaults(),
+                new AddressShareViewSource(
+                        new InstanceId(settings.instance()),
+                        new AddressPolicy(ADDRESSES_PER_WORKSPACE),
+                        () -> control.state().membersOf(MemberRole.ENTRY)));
+    }
+
     private DocumentController documentController(
             ActorSystem<?> system, Supplier<RequestId> ids, Clock clock, EventSink events) {
         return new DocumentController(
--- a/entry/src/main/java/org/jasminehub/entry/relay/RelayHandler.java
+++ b/entry/src/main/java/org/jasminehub/entry/relay/RelayHandler.java
@@ -10,6 +10,8 @@
 import org.apache.pekko.util.ByteString;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.FailureDomain;
+import org.jasminehub.core.retry.RetryBudgets;
+import org.jasminehub.core.retry.RetryPolicy;
 import org.jasminehub.core.routing.EndpointPolicy;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.entry.endpoint.EndpointDirectory;
@@ -27,11 +29,14 @@
  */
 public final class RelayHandler implements RequestHandler {
     private static final int FIRST_ERROR_STATUS = 400;
+    private static final int RETRY_RESERVE = 10;
+    private static final int MAX_RETRY_BUDGETS = 10_000;
 
     private final ActorSystem<?> system;
     private final FailureDomain origin;
     private final EndpointDirectory directory;
     private final EndpointPolicy policy;
+    private final RetryPolicy retries = new RetryPolicy(new RetryBudgets(RETRY_RESERVE, MAX_RETRY_BUDGETS));
     private final Clock clock;
     private final EventSink events;
 
@@ -53,7 +58,8 @@
 
     @Override
     public CompletionStage<Answer> handle(RequestContext context) {
-        RelaySession session = new RelaySession(context, origin, directory, policy, clock, events, this::delay);
+        RelaySession session =
+                new RelaySession(context, origin, directory, policy, clock, events, this::delay, retries);
         return session.begin()
                 .thenCompose(attempt -> attempt.head().thenCompose(head -> toAnswer(context, session, attempt, head)));
     }
--- a/entry/src/main/java/org/jasminehub/entry/relay/RelaySession.java
+++ b/entry/src/main/java/org/jasminehub/entry/relay/RelaySession.java
@@ -13,6 +13,9 @@
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.identity.FailureDomain;
+import org.jasminehub.core.retry.FailedAttempt;
+import org.jasminehub.core.retry.RetryDecision;
+import org.jasminehub.core.retry.RetryPolicy;
 import org.jasminehub.core.routing.EndpointChoice;
 import org.jasminehub.core.routing.EndpointPolicy;
 import org.jasminehub.core.routing.EndpointState;
@@ -33,6 +36,7 @@
     private final Clock clock;
     private final EventSink events;
     private final DelayedExecutor delays;
+    private final RetryPolicy retries;
     private final List<EndpointId> tried = new ArrayList<>();
 
     RelaySession(
@@ -42,7 +46,8 @@
             EndpointPolicy policy,
             Clock clock,
             EventSink events,
-            DelayedExecutor delays) {
+            DelayedExecutor delays,
+            RetryPolicy retries) {
         this.context = context;
         this.origin = origin;
         this.directory = directory;
@@ -50,10 +55,12 @@
         this.clock = clock;
         this.events = events;
         this.delays = delays;
+        this.retries = retries;
     }
 
     /** Returns the first attempt whose head arrives. */
     CompletionStage<Attempt> begin() {
+        retries.firstAttempt(subject());
         return attempt(0);
     }
 
@@ -97,9 +104,9 @@
     }
 
     private CompletionStage<Attempt> retryAfter(RequestException failure, int resumeFromChunk) {
-        boolean harmless = failure.outcome() == Outcome.NOT_RUN || context.isRepeatable();
-        boolean allowed = tried.size() < context.route().retry().maxAttempts() && remainingMillis() > 0;
-        if (!harmless || !allowed) {
+        RetryDecision decision = retries.decide(
+                new FailedAttempt(subject(), tried.size(), failure.code(), failure.outcome(), remainingMillis(), 0));
+        if (decision != RetryDecision.AGAIN) {
             return CompletableFuture.failedFuture(failure);
         }
         events.emit(new AttemptRetried(
@@ -115,6 +122,10 @@
                 .thenCompose(stage -> stage);
     }
 
+    private FailedAttempt.Subject subject() {
+        return new FailedAttempt.Subject(context.request().workspace(), context.route());
+    }
+
     /** A later "not run" says nothing of an earlier attempt that may have run. */
     private static RequestException worseOf(RequestException earlier, RequestException later) {
         return earlier.outcome() == Outcome.UNKNOWN ? earlier : later;
