--- a/agent/src/main/java/org/jasminehub/agent/Agent.java
+++ b/agent/src/main/java/org/jasminehub/agent/Agent.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletionStage;
 import org.apache.pekko.actor.Cancellable;
 import org.apache.pekko.actor.typed.ActorSystem;
+import org.jasminehub.agent.admission.AdmissionFilter;
 import org.jasminehub.agent.call.AgentCall;
 import org.jasminehub.agent.call.CallFilter;
 import org.jasminehub.agent.call.CallHandler;
@@ -52,6 +53,7 @@
     private final OperationGuard operations;
     private final WireServer server;
     private final Cancellable loadTimer;
+    private final Cancellable admissionTimer;
 
     /** Starts an agent; its incarnation is the clock's wall time. */
     public Agent(AgentSettings settings, ActorSystem<?> system, WireGroup group, Clock clock, EventSink events) {
@@ -72,11 +74,18 @@
                 incoming -> chain.handle(new AgentCall(incoming, this.clock.monotonicMillis())),
                 controlRouter(),
                 events);
-        LoadReporter reporter =
-                new LoadReporter(system, client, isModel, () -> !leaving.isLeaving(), server::broadcastLoad);
+        LoadReporter reporter = new LoadReporter(
+                system,
+                client,
+                isModel,
+                () -> !leaving.isLeaving(),
+                load -> server.broadcastLoad(admission.onLoad(load)));
         Duration interval = Duration.ofMillis(settings.loadIntervalMillis());
         this.loadTimer =
                 system.scheduler().scheduleAtFixedRate(interval, interval, reporter::report, system.executionContext());
+        Duration advance = Duration.ofMillis(AdmissionFilter.ADVANCE_INTERVAL_MILLIS);
+        this.admissionTimer =
+                system.scheduler().scheduleAtFixedRate(advance, advance, admission::advance, system.executionContext());
     }
 
     /** Returns the port that entry instances connect to. */
@@ -99,6 +108,7 @@
     @Override
     public void close() {
         loadTimer.cancel();
+        admissionTimer.cancel();
         server.close();
     }
 
