Wire admission, limits and the first-token policy again after the merge

Ruled out: nothing else; both sides' diffs were read line by line. Change: both sides' lines. Conclusion: conflicts in wiring classes are settled by hand from now on.

--- a/agent/src/main/java/org/jasminehub/agent/Agent.java
+++ b/agent/src/main/java/org/jasminehub/agent/Agent.java
@@ -18,6 +18,7 @@
 import org.jasminehub.agent.engine.LoadReporter;
 import org.jasminehub.agent.operation.OperationFilter;
 import org.jasminehub.agent.operation.OperationGuard;
+import org.jasminehub.core.admission.AdmissionSettings;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.membership.TargetKind;
 import org.jasminehub.core.time.Clock;
@@ -65,7 +66,8 @@
         EndpointRelay relay = new EndpointRelay(system, client, isModel, events);
         this.operations = OperationGuard.create(hello(), settings.target().name(), clock, events);
         OperationFilter onceOnly = new OperationFilter(system, client, operations, EndpointRelay::isConnectFailure);
-        CallHandler chain = CallFilter.chain(List.of(running, versions, onceOnly, leaving), relay);
+        AdmissionFilter admission = new AdmissionFilter(clock, AdmissionSettings.defaults(), events);
+        CallHandler chain = CallFilter.chain(List.of(running, versions, onceOnly, leaving, admission), relay);
         this.server = WireServer.start(
                 group,
                 settings.host(),
--- a/entry/src/main/java/org/jasminehub/entry/EntryInstance.java
+++ b/entry/src/main/java/org/jasminehub/entry/EntryInstance.java
@@ -26,6 +26,8 @@
 import org.jasminehub.entry.endpoint.EndpointDirectory;
 import org.jasminehub.entry.filter.RequestFilter;
 import org.jasminehub.entry.filter.RequestHandler;
+import org.jasminehub.entry.filter.limit.AddressShareViewSource;
+import org.jasminehub.entry.filter.limit.LimitFilter;
 import org.jasminehub.entry.filter.operation.HomeTableController;
 import org.jasminehub.entry.filter.operation.OperationFilter;
 import org.jasminehub.entry.filter.operation.OperationKeyPage;
@@ -102,11 +104,11 @@
                 router,
                 events);
         RelayHandler relay = new RelayHandler(
-                system, new FailureDomain(settings.failureDomain()), directory, new RoundRobinPolicy(), clock, events);
+                system, new FailureDomain(settings.failureDomain()), directory, newPolicy(), clock, events);
         HttpLogService log = new HttpLogService(system, settings.log(), PLATFORM_TIMEOUT_MILLIS);
         this.homes = new HomeTableController(new InstanceId(settings.instance()), control, log, directory);
         OperationFilter operations = new OperationFilter(directory, homes, clock, events);
-        RequestHandler chain = RequestFilter.chain(List.of(operations), operations.terminal(relay));
+        RequestHandler chain = RequestFilter.chain(List.of(limitFilter(clock), operations), operations.terminal(relay));
         this.callerServer = new CallerServerFactory(
                         system,
                         settings,
