--- /dev/null
+++ b/bench/src/main/java/org/jasminehub/bench/experts/package-info.java
@@ -0,0 +1,5 @@
+/** Measures what moving experts gains and costs. */
+@NullMarked
+package org.jasminehub.bench.experts;
+
+import org.jspecify.annotations.NullMarked;
