Show that no old version is handed to traffic while an old history is read

Cause: the test meant for it could not fail: a truncated log gives no documents anyway.

Ruled out: nothing else tried.

Change: a test with 601 publishes, which take three pages.

Conclusion: a starting instance serves the end of the history only.

--- a/entry/src/test/java/org/jasminehub/entry/control/documents/DocumentControllerTest.java
+++ b/entry/src/test/java/org/jasminehub/entry/control/documents/DocumentControllerTest.java
@@ -44,6 +44,7 @@
         private final InstanceId id;
         private final DocumentController controller;
         private List<DocumentInForce> documents = List.of();
+        private final List<Long> handedVersions = new ArrayList<>();
         private boolean serving;
 
         Instance(int number, int domain) {
@@ -67,6 +68,7 @@
         private void onDocuments(List<DocumentInForce> inForce, boolean isServing) {
             documents = inForce;
             serving = isServing;
+            handedVersions.add(version());
         }
 
         long version() {
@@ -108,6 +110,16 @@
             assertTrue(instance.serving);
         }
 
+        @Test
+        void testInstanceThatReadsALongHistoryHandsOnOnlyItsEnd() {
+            long version = log.publishFirst();
+            for (int change = 0; change < 600; change++) {
+                version = log.publish(version, 1);
+            }
+            Instance instance = new Instance(1, 0).refresh();
+            assertEquals(List.of(version), instance.handedVersions);
+        }
+
         @Test
         void testOneOfTwoRacingOperatorsWinsOnEveryInstance() {
             for (int i = 0; i < 7; i++) {
