Every measurement has its command

Cause: the benches of experts, operations and routing could not be run by a user. Ruled out: a third binary. Change: jasminehub bench NAME.

--- a/app/src/main/java/org/jasminehub/app/BenchCommand.java
+++ b/app/src/main/java/org/jasminehub/app/BenchCommand.java
@@ -8,7 +8,11 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.jasminehub.app.demo.PathBench;
+import org.jasminehub.bench.capacity.CapacityBench;
 import org.jasminehub.bench.documents.DocumentsBench;
+import org.jasminehub.bench.experts.ExpertsBench;
+import org.jasminehub.bench.operation.OperationBench;
+import org.jasminehub.bench.routing.RoutingBench;
 
 /** Runs a measurement and prints its table. */
 @Parameters(commandDescription = "runs a measurement and prints its table")
@@ -23,7 +27,10 @@
         this.out = out;
         benches.put("capacity", CapacityBench::run);
         benches.put("documents", DocumentsBench::run);
+        benches.put("experts", ExpertsBench::run);
+        benches.put("operations", sink -> OperationBench.run(sink, new String[0]));
         benches.put("path", PathBench::run);
+        benches.put("routing", sink -> RoutingBench.run(sink));
     }
 
     @Override
