One place that unwraps failed stages, one type for failed measurements

Cause: the same unwrapping of failures stood in four classes and two types said that a bench failed. Ruled out: a common base of all modules for it, since platform may not know requests. Change: Failures in entry/filter, BenchException in bench. Before and after: four copies; one. Conclusion: no change of behaviour.

--- a/app/src/main/java/org/jasminehub/app/demo/PathBench.java
+++ b/app/src/main/java/org/jasminehub/app/demo/PathBench.java
@@ -16,6 +16,7 @@
 import org.HdrHistogram.ConcurrentHistogram;
 import org.HdrHistogram.Histogram;
 import org.jasminehub.app.ProcessRuntime;
+import org.jasminehub.bench.BenchException;
 import org.jasminehub.standin.EngineStandin;
 
 /**
@@ -123,7 +124,7 @@
             HttpResponse<String> response = client.sendAsync(request, HttpResponse.BodyHandlers.ofString())
                     .join();
             if (response.statusCode() != STATUS_OK) {
-                throw new BenchException("answer " + response.statusCode() + ": " + response.body());
+                throw new BenchException("answer " + response.statusCode() + ": " + response.body(), null);
             }
             latencyMicros.recordValue((long) ((System.nanoTime() - startNanos) / NANOS_PER_MICRO));
         }
--- a/bench/src/main/java/org/jasminehub/bench/capacity/CpuSlopes.java
+++ b/bench/src/main/java/org/jasminehub/bench/capacity/CpuSlopes.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.function.IntConsumer;
 import java.util.stream.Collectors;
+import org.jasminehub.bench.BenchException;
 import org.jasminehub.core.address.EndpointSubsetPolicy;
 import org.jasminehub.core.document.DocumentYamlAdapter;
 import org.jasminehub.core.history.HistoryRecordCodec;
@@ -155,7 +156,7 @@
         try {
             return Envelope.parseFrom(bytes);
         } catch (InvalidProtocolBufferException e) {
-            throw new BenchException(e);
+            throw new BenchException("a measured step failed", e);
         }
     }
 }
--- a/bench/src/main/java/org/jasminehub/bench/capacity/MessageSizes.java
+++ b/bench/src/main/java/org/jasminehub/bench/capacity/MessageSizes.java
@@ -5,6 +5,7 @@
 import com.google.protobuf.MessageLite;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import org.jasminehub.bench.BenchException;
 import org.jasminehub.core.history.HistoryRecordCodec;
 import org.jasminehub.core.identity.InstanceId;
 import org.jasminehub.core.lease.LeaseAction;
@@ -107,7 +108,7 @@
             List<MemberJson> members = Fleet.all().stream().map(MemberJson::of).toList();
             return new ObjectMapper().writeValueAsBytes(members).length / (double) members.size();
         } catch (JsonProcessingException e) {
-            throw new BenchException(e);
+            throw new BenchException("a measured step failed", e);
         }
     }
 
--- /dev/null
+++ b/bench/src/main/java/org/jasminehub/bench/package-info.java
@@ -0,0 +1,5 @@
+/** Measurement commands, a package each. */
+@NullMarked
+package org.jasminehub.bench;
+
+import org.jspecify.annotations.NullMarked;
--- a/entry/src/main/java/org/jasminehub/entry/filter/MetricsFilter.java
+++ b/entry/src/main/java/org/jasminehub/entry/filter/MetricsFilter.java
@@ -2,10 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
-import org.jasminehub.core.error.ErrorCode;
-import org.jasminehub.core.error.RequestException;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -34,13 +31,9 @@
 
     private void count(@Nullable Throwable failure) {
         if (failure != null) {
-            metrics.counter("entry.failures." + codeOf(failure).code()).inc();
+            metrics.counter("entry.failures."
+                            + Failures.toRequestException(failure).code().code())
+                    .inc();
         }
     }
-
-    private static ErrorCode codeOf(Throwable failure) {
-        Throwable cause =
-                failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
-        return cause instanceof RequestException known ? known.code() : ErrorCode.INTERNAL;
-    }
 }
--- a/entry/src/main/java/org/jasminehub/entry/http/CallerServer.java
+++ b/entry/src/main/java/org/jasminehub/entry/http/CallerServer.java
@@ -20,6 +20,7 @@
 import org.jasminehub.core.error.RequestException;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.entry.filter.CallerRequest;
+import org.jasminehub.entry.filter.Failures;
 import org.jasminehub.entry.filter.RequestContext;
 import org.jasminehub.entry.filter.RequestHandler;
 import org.jasminehub.entry.filter.RequestIdentifier;
@@ -135,11 +136,7 @@
     }
 
     private RequestException toRequestException(Throwable failure) {
-        Throwable cause =
-                failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
-        if (cause instanceof RequestException known) {
-            return known;
-        }
+        Throwable cause = Failures.causeOf(failure);
         if (cause instanceof EntityStreamSizeException) {
             return new RequestException(
                     ErrorCode.REQUEST_TOO_LARGE, Outcome.NOT_RUN, "the body is larger than " + maxBodyBytes + " bytes");
@@ -147,8 +144,7 @@
         if (cause instanceof EntityStreamException) {
             return RequestReader.malformed("the body ended early");
         }
-        return new RequestException(
-                ErrorCode.INTERNAL, Outcome.UNKNOWN, RequestException.NO_RETRY, String.valueOf(cause), cause);
+        return Failures.toRequestException(cause);
     }
 
     /** Parses a request whose body is at hand. */
--- a/entry/src/main/java/org/jasminehub/entry/relay/EventStreams.java
+++ b/entry/src/main/java/org/jasminehub/entry/relay/EventStreams.java
@@ -6,6 +6,7 @@
 import org.apache.pekko.stream.javadsl.Source;
 import org.apache.pekko.util.ByteString;
 import org.jasminehub.core.error.RequestException;
+import org.jasminehub.entry.filter.Failures;
 import org.jasminehub.entry.filter.Problem;
 
 /** Gives chunks the form of server-sent events. */
@@ -33,7 +34,7 @@
     }
 
     private static Source<ByteString, NotUsed> errorThenCut(Throwable failure) {
-        RequestException known = RelaySession.toRequestException(failure);
+        RequestException known = Failures.toRequestException(failure);
         ByteString event =
                 ByteString.fromString("event: error\ndata: " + Problem.of(known).toJson() + "\n\n");
         return Source.single(event).concat(failLater(known));
--- a/entry/src/main/java/org/jasminehub/entry/relay/RelaySession.java
+++ b/entry/src/main/java/org/jasminehub/entry/relay/RelaySession.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import org.jasminehub.core.document.RouteKind;
 import org.jasminehub.core.error.ErrorCode;
@@ -23,6 +22,7 @@
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.entry.endpoint.EndpointDirectory;
 import org.jasminehub.entry.endpoint.EndpointLink;
+import org.jasminehub.entry.filter.Failures;
 import org.jasminehub.entry.filter.RequestContext;
 
 /** The attempts of one request, one after the other, each at another endpoint. Used by one thread at a time. */
@@ -99,7 +99,7 @@
         return attempt.head()
                 .handle((head, failure) -> failure == null
                         ? CompletableFuture.completedFuture(attempt)
-                        : retryAfter(toRequestException(failure), resumeFromChunk))
+                        : retryAfter(Failures.toRequestException(failure), resumeFromChunk))
                 .thenCompose(stage -> stage);
     }
 
@@ -118,7 +118,8 @@
         return attempt(resumeFromChunk)
                 .handle((attempt, problem) -> attempt != null
                         ? CompletableFuture.completedFuture(attempt)
-                        : CompletableFuture.<Attempt>failedFuture(worseOf(failure, toRequestException(problem))))
+                        : CompletableFuture.<Attempt>failedFuture(
+                                worseOf(failure, Failures.toRequestException(problem))))
                 .thenCompose(stage -> stage);
     }
 
@@ -168,14 +169,4 @@
     private long remainingMillis() {
         return Math.max(0, context.deadlineMillis() - clock.monotonicMillis());
     }
-
-    static RequestException toRequestException(Throwable failure) {
-        Throwable cause =
-                failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
-        if (cause instanceof RequestException known) {
-            return known;
-        }
-        return new RequestException(
-                ErrorCode.INTERNAL, Outcome.UNKNOWN, RequestException.NO_RETRY, String.valueOf(cause), cause);
-    }
 }
