Entry instances use tracked reports, delays and ejection; operations stand before limits

Ruled out: judging delays of whole answers by the estimate of a first token (they would all look slow). Change: EndpointTracker and OutlierPolicy in EndpointLink and EndpointDirectory; Attempt tells first tokens and ends; chain is operations, limits, relay.

--- a/entry/src/main/java/org/jasminehub/entry/EntryInstance.java
+++ b/entry/src/main/java/org/jasminehub/entry/EntryInstance.java
@@ -11,7 +11,10 @@
 import org.jasminehub.core.identity.RequestId;
 import org.jasminehub.core.limit.LimitSettings;
 import org.jasminehub.core.membership.MemberRole;
+import org.jasminehub.core.retry.OutlierPolicy;
+import org.jasminehub.core.retry.OutlierSettings;
 import org.jasminehub.core.routing.EndpointPolicy;
+import org.jasminehub.core.routing.EndpointTracker;
 import org.jasminehub.core.routing.FirstTokenEstimate;
 import org.jasminehub.core.routing.FirstTokenPolicy;
 import org.jasminehub.core.routing.NetworkDistance;
@@ -90,7 +93,12 @@
         this.incarnation = clock.wallMillis();
         this.peerLinks = new PeerLinks(group, this::hello);
         this.membership = newMembership(system, clock, events);
-        this.directory = new EndpointDirectory(group, this::hello, clock, membership);
+        this.directory = new EndpointDirectory(
+                group,
+                this::hello,
+                new EndpointTracker(clock),
+                new OutlierPolicy(clock, OutlierSettings.defaults(), events),
+                membership);
         this.peerRecords = new WirePeerClient(group, this::hello);
         DocumentController documents = documentController(system, ids, clock, events);
         ControlRouter router = new ControlRouter();
@@ -108,7 +116,7 @@
         HttpLogService log = new HttpLogService(system, settings.log(), PLATFORM_TIMEOUT_MILLIS);
         this.homes = new HomeTableController(new InstanceId(settings.instance()), control, log, directory);
         OperationFilter operations = new OperationFilter(directory, homes, clock, events);
-        RequestHandler chain = RequestFilter.chain(List.of(limitFilter(clock), operations), operations.terminal(relay));
+        RequestHandler chain = RequestFilter.chain(List.of(operations, limitFilter(clock)), operations.terminal(relay));
         this.callerServer = new CallerServerFactory(
                         system,
                         settings,
--- a/entry/src/main/java/org/jasminehub/entry/endpoint/EndpointDirectory.java
+++ b/entry/src/main/java/org/jasminehub/entry/endpoint/EndpointDirectory.java
@@ -5,13 +5,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.membership.Member;
 import org.jasminehub.core.membership.MemberRole;
 import org.jasminehub.core.membership.Target;
-import org.jasminehub.core.time.Clock;
+import org.jasminehub.core.retry.OutlierPolicy;
+import org.jasminehub.core.routing.EndpointTracker;
 import org.jasminehub.wire.WireGroup;
 import org.jasminehub.wire.generated.Hello;
 
@@ -23,15 +25,22 @@
 public final class EndpointDirectory implements AutoCloseable {
     private final WireGroup group;
     private final Supplier<Hello> hello;
-    private final Clock clock;
+    private final EndpointTracker tracker;
+    private final OutlierPolicy outliers;
     private final LinkObserver observer;
     private final Map<EndpointId, EndpointLink> links = new ConcurrentHashMap<>();
 
     /** Creates a directory without connections; {@code hello} says who this process is. */
-    public EndpointDirectory(WireGroup group, Supplier<Hello> hello, Clock clock, LinkObserver observer) {
+    public EndpointDirectory(
+            WireGroup group,
+            Supplier<Hello> hello,
+            EndpointTracker tracker,
+            OutlierPolicy outliers,
+            LinkObserver observer) {
         this.group = group;
         this.hello = hello;
-        this.clock = clock;
+        this.tracker = tracker;
+        this.outliers = outliers;
         this.observer = observer;
     }
 
@@ -54,7 +63,7 @@
         }
     }
 
-    /** Returns the connections over which new work for {@code target} may be sent. */
+    /** Returns the connections over which new work for {@code target} may be sent, without those of outliers. */
     public List<EndpointLink> usable(Target target) {
         List<EndpointLink> usable = new ArrayList<>();
         for (EndpointLink link : links.values()) {
@@ -62,6 +71,9 @@
                 usable.add(link);
             }
         }
+        Set<EndpointId> ejected =
+                outliers.ejected(usable.stream().map(EndpointLink::id).toList());
+        usable.removeIf(link -> ejected.contains(link.id()));
         return usable;
     }
 
@@ -79,6 +91,8 @@
         link.retire();
         if (link.isIdle()) {
             links.remove(link.id());
+            tracker.forget(link.id());
+            outliers.forget(link.id());
             link.close();
         }
     }
@@ -88,7 +102,7 @@
         if (known != null && hasSameAddress(known.member(), member)) {
             return known;
         }
-        EndpointLink link = new EndpointLink(member, group, hello, clock, observer);
+        EndpointLink link = new EndpointLink(member, group, hello, tracker, outliers, observer);
         EndpointLink replaced = links.put(id, link);
         if (replaced != null) {
             replaced.close();
--- a/entry/src/main/java/org/jasminehub/entry/endpoint/EndpointLink.java
+++ b/entry/src/main/java/org/jasminehub/entry/endpoint/EndpointLink.java
@@ -1,14 +1,14 @@
 package org.jasminehub.entry.endpoint;
 
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.membership.Member;
 import org.jasminehub.core.membership.MemberState;
+import org.jasminehub.core.retry.OutlierPolicy;
 import org.jasminehub.core.routing.EndpointState;
+import org.jasminehub.core.routing.EndpointTracker;
 import org.jasminehub.core.routing.LoadReport;
-import org.jasminehub.core.time.Clock;
 import org.jasminehub.wire.AnswerListener;
 import org.jasminehub.wire.OutgoingCall;
 import org.jasminehub.wire.PeerListener;
@@ -21,21 +21,26 @@
 /** The connection to one agent and what it last reported. Safe for use by several threads. */
 public final class EndpointLink implements AutoCloseable {
     private final EndpointId id;
-    private final Clock clock;
+    private final EndpointTracker tracker;
+    private final OutlierPolicy outliers;
     private final LinkObserver observer;
     private final WireClient client;
     private final AtomicInteger outstanding = new AtomicInteger();
-    private final AtomicLong sentSinceTokens = new AtomicLong();
     private volatile Member member;
-    private volatile LoadReport load = LoadReport.unknown();
-    private volatile long reportedAtMillis;
     private volatile Hello peer = Hello.getDefaultInstance();
     private volatile boolean connected;
 
-    EndpointLink(Member member, WireGroup group, Supplier<Hello> hello, Clock clock, LinkObserver observer) {
+    EndpointLink(
+            Member member,
+            WireGroup group,
+            Supplier<Hello> hello,
+            EndpointTracker tracker,
+            OutlierPolicy outliers,
+            LinkObserver observer) {
         this.id = new EndpointId(member.id().value());
         this.member = member;
-        this.clock = clock;
+        this.tracker = tracker;
+        this.outliers = outliers;
         this.observer = observer;
         this.client = new WireClient(group, member.host(), member.wirePort(), hello, new Listener());
     }
@@ -62,26 +67,30 @@
 
     /** Returns what is known for a choice; {@code prefixHitTokens} is the caller's estimate. */
     public EndpointState state(long prefixHitTokens) {
-        return new EndpointState(
-                id,
-                member.failureDomain(),
-                load,
-                Math.max(0, clock.monotonicMillis() - reportedAtMillis),
-                sentSinceTokens.get(),
-                outstanding.get(),
-                prefixHitTokens);
-    }
-
-    /** Starts a call that is expected to cost {@code tokens}; the caller must call {@link #callEnded} once. */
-    public OutgoingCall call(CallStart.Builder start, long tokens, AnswerListener listener) {
+        return tracker.state(id, member.failureDomain(), prefixHitTokens);
+    }
+
+    /** Starts a call that is expected to cost {@code workTokens}; the caller must call {@link #callEnded} once. */
+    public OutgoingCall call(CallStart.Builder start, long workTokens, AnswerListener listener) {
         outstanding.incrementAndGet();
-        sentSinceTokens.addAndGet(tokens);
+        tracker.recordSent(id, workTokens);
         return client.call(start, listener);
     }
 
     /** Notes that a call started with {@link #call} has ended. */
     public void callEnded() {
         outstanding.decrementAndGet();
+        tracker.recordFinished(id);
+    }
+
+    /** Notes whether an attempt that ran here gave its whole answer; a refusal as not run is neither. */
+    public void recordAttempt(boolean succeeded) {
+        outliers.record(id, succeeded);
+    }
+
+    /** Notes how long the first part of an answer took against its estimate. */
+    public void recordFirstToken(double estimateMillis, double observedMillis) {
+        tracker.recordFirstToken(id, estimateMillis, observedMillis);
     }
 
     /** Returns the connection, for control requests. */
@@ -108,6 +117,16 @@
         return outstanding.get() == 0;
     }
 
+    private static LoadReport toLoadReport(EndpointLoad report) {
+        return new LoadReport(
+                report.getQueuedTokens(),
+                report.getRunningRequests(),
+                report.getCapacityRequests(),
+                report.getStepMillis(),
+                report.getPrefillTokensPerSecond(),
+                report.getAccepting());
+    }
+
     private final class Listener implements PeerListener {
         @Override
         public void onHello(Hello hello) {
@@ -118,15 +137,7 @@
 
         @Override
         public void onLoad(EndpointLoad report) {
-            load = new LoadReport(
-                    report.getQueuedTokens(),
-                    report.getRunningRequests(),
-                    report.getCapacityRequests(),
-                    report.getStepMillis(),
-                    report.getPrefillTokensPerSecond(),
-                    report.getAccepting());
-            reportedAtMillis = clock.monotonicMillis() - report.getAgeMillis();
-            sentSinceTokens.set(0);
+            tracker.recordReport(id, toLoadReport(report), report.getAgeMillis());
             observer.onHeard(peer);
         }
 
--- a/entry/src/main/java/org/jasminehub/entry/relay/Attempt.java
+++ b/entry/src/main/java/org/jasminehub/entry/relay/Attempt.java
@@ -8,6 +8,7 @@
 import org.jasminehub.core.error.ErrorCode;
 import org.jasminehub.core.error.Outcome;
 import org.jasminehub.core.error.RequestException;
+import org.jasminehub.core.time.Clock;
 import org.jasminehub.entry.endpoint.EndpointLink;
 import org.jasminehub.wire.AnswerListener;
 import org.jasminehub.wire.OutgoingCall;
@@ -29,6 +30,9 @@
 
     private final EndpointLink link;
     private final int number;
+    private final double estimateMillis;
+    private final Clock clock;
+    private final long startedMillis;
     private final CompletableFuture<AnswerHead> head = new CompletableFuture<>();
     private final Queue<AnswerSignal> signals = new ArrayDeque<>();
     private Runnable wakeUp = () -> {};
@@ -37,15 +41,22 @@
     private boolean ended;
     private @Nullable OutgoingCall call;
 
-    private Attempt(EndpointLink link, int number) {
+    private Attempt(EndpointLink link, int number, double estimateMillis, Clock clock) {
         this.link = link;
         this.number = number;
-    }
-
-    /** Sends {@code start} over {@code link}; {@code tokens} is what it is expected to cost. */
-    static Attempt start(EndpointLink link, CallStart.Builder start, long tokens) {
-        Attempt attempt = new Attempt(link, start.getAttempt());
-        OutgoingCall call = link.call(start, tokens, attempt);
+        this.estimateMillis = estimateMillis;
+        this.clock = clock;
+        this.startedMillis = clock.monotonicMillis();
+    }
+
+    /**
+     * Sends {@code start} over {@code link}; {@code workTokens} is what it is expected to cost, {@code estimateMillis} how
+     * long its first token is expected to take, 0 where nothing is expected.
+     */
+    static Attempt start(
+            EndpointLink link, CallStart.Builder start, long workTokens, double estimateMillis, Clock clock) {
+        Attempt attempt = new Attempt(link, start.getAttempt(), estimateMillis, clock);
+        OutgoingCall call = link.call(start, workTokens, attempt);
         synchronized (attempt) {
             attempt.call = call;
         }
@@ -120,6 +131,9 @@
                     ErrorCode.PROTOCOL_VIOLATION, Outcome.UNKNOWN, "chunk " + chunk.getSequence() + " out of order"));
             return;
         }
+        if (receivedChunks == 0) {
+            link.recordFirstToken(estimateMillis, clock.monotonicMillis() - startedMillis);
+        }
         receivedChunks++;
         offer(new AnswerSignal.Chunk(chunk.getData()));
     }
@@ -173,10 +187,20 @@
             }
         }
         link.callEnded();
+        judge(last);
         forgetDeadline();
         wake();
     }
 
+    private void judge(@Nullable AnswerSignal last) {
+        if (last instanceof AnswerSignal.End) {
+            link.recordAttempt(true);
+        } else if (last instanceof AnswerSignal.Failed failed
+                && failed.failure().outcome() == Outcome.UNKNOWN) {
+            link.recordAttempt(false);
+        }
+    }
+
     private void offer(AnswerSignal signal) {
         synchronized (this) {
             if (ended) {
--- a/entry/src/main/java/org/jasminehub/entry/relay/RelaySession.java
+++ b/entry/src/main/java/org/jasminehub/entry/relay/RelaySession.java
@@ -19,6 +19,7 @@
 import org.jasminehub.core.routing.EndpointPolicy;
 import org.jasminehub.core.routing.EndpointState;
 import org.jasminehub.core.routing.RoutingRequest;
+import org.jasminehub.core.routing.WorkCost;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.entry.endpoint.EndpointDirectory;
 import org.jasminehub.entry.endpoint.EndpointLink;
@@ -83,7 +84,8 @@
     }
 
     private CompletionStage<Attempt> attempt(int resumeFromChunk) {
-        Optional<EndpointLink> link = choose();
+        Optional<EndpointChoice> choice = choose();
+        Optional<EndpointLink> link = choice.flatMap(made -> directory.link(made.endpoint()));
         if (link.isEmpty()) {
             return CompletableFuture.failedFuture(new RequestException(
                     ErrorCode.NO_ENDPOINT,
@@ -92,9 +94,13 @@
                     "no endpoint serves " + context.route().target() + " at present"));
         }
         tried.add(link.get().id());
-        long tokens = context.request().promptTokens() + context.request().maxAnswerTokens();
         Attempt attempt = Attempt.start(
-                link.get(), CallStarts.of(context, tried.size(), resumeFromChunk, remainingMillis()), tokens);
+                link.get(),
+                CallStarts.of(context, tried.size(), resumeFromChunk, remainingMillis()),
+                WorkCost.tokens(
+                        context.request().promptTokens(), context.request().maxAnswerTokens()),
+                context.request().stream() ? choice.get().estimateMillis() : 0,
+                clock);
         attempt.expireAfter(remainingMillis(), delays);
         return attempt.head()
                 .handle((head, failure) -> failure == null
@@ -132,7 +138,7 @@
         return earlier.outcome() == Outcome.UNKNOWN ? earlier : later;
     }
 
-    private Optional<EndpointLink> choose() {
+    private Optional<EndpointChoice> choose() {
         List<EndpointState> candidates = new ArrayList<>();
         for (EndpointLink link : directory.usable(context.route().target())) {
             if (!tried.contains(link.id())) {
@@ -147,7 +153,7 @@
                 remainingMillis());
         Optional<EndpointChoice> choice = policy.choose(request, candidates);
         choice.ifPresent(this::logChoice);
-        return choice.flatMap(made -> directory.link(made.endpoint()));
+        return choice;
     }
 
     private void logChoice(EndpointChoice choice) {
