Stop entry instances and agents as planned without cutting a stream

Cause: a leaving entry instance must serve callers with an old address list.

Change: DrainController counts open requests, leads the entry instance's EntryDrain and refuses new ones after the list's lag and time to live; the instance leaves the address lists at once (its own and, by its greeting, its peers'). The booking tests write the demo's document in the log's new form: since that form changed they had waited for a document for ever.

The commands do not call EntryInstance#drain yet.

--- a/app/src/test/java/org/jasminehub/app/operations/BookingFailureTest.java
+++ b/app/src/test/java/org/jasminehub/app/operations/BookingFailureTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.IOException;
 import java.net.http.HttpResponse;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
@@ -26,7 +25,7 @@
     private BookingSystem system;
 
     @BeforeEach
-    void start() throws IOException {
+    void start() {
         runtime = new ProcessRuntime("test");
         system = new BookingSystem(runtime);
     }
--- a/app/src/test/java/org/jasminehub/app/operations/BookingSystem.java
+++ b/app/src/test/java/org/jasminehub/app/operations/BookingSystem.java
@@ -1,6 +1,5 @@
 package org.jasminehub.app.operations;
 
-import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -17,6 +16,7 @@
 import org.jasminehub.agent.Agent;
 import org.jasminehub.agent.AgentSettings;
 import org.jasminehub.app.ProcessRuntime;
+import org.jasminehub.app.demo.DemoDocument;
 import org.jasminehub.core.identity.FailureDomain;
 import org.jasminehub.core.identity.InstanceId;
 import org.jasminehub.core.identity.RequestId;
@@ -32,12 +32,14 @@
 import org.jasminehub.entry.EntrySettings;
 import org.jasminehub.runtime.log.EventLog;
 import org.jasminehub.standin.BookingStandin;
+import org.jasminehub.standin.EngineStandin;
 import org.jasminehub.standin.InstanceListStandin;
 import org.jasminehub.standin.LogStandin;
 
 /** Two entry instances and two agents before one booking service, over real sockets; each can be ended at any time. */
 final class BookingSystem implements AutoCloseable {
     private static final Target BOOKINGS = Target.service("bookings");
+    private static final Target MODEL = Target.model("campaign-text");
     private static final String HOST = "127.0.0.1";
     private static final long POLL_NANOS = 5_000_000;
 
@@ -46,17 +48,16 @@
     final BookingStandin bookings;
     final Map<String, Agent> agents = new TreeMap<>();
     final List<EntryInstance> entries = new ArrayList<>();
+    private final List<EngineStandin> engines = new ArrayList<>();
     private final ProcessRuntime runtime;
     private final HttpClient client = HttpClient.newHttpClient();
 
-    BookingSystem(ProcessRuntime runtime) throws IOException {
+    BookingSystem(ProcessRuntime runtime) {
         this.runtime = runtime;
         this.log = new LogStandin(runtime.system(), 0);
         this.list = new InstanceListStandin(runtime.system(), 0);
         this.bookings = new BookingStandin(runtime.system(), 0);
-        try (var document = getClass().getResourceAsStream("/demo/document.yaml")) {
-            log.append(document.readAllBytes());
-        }
+        log.append(DemoDocument.firstRecord());
         startAgent("bookings-1");
         startAgent("bookings-2");
         startEntry("entry-1");
@@ -81,9 +82,46 @@
         list.put(member(name, MemberRole.AGENT, agent.wirePort(), 0, List.of(BOOKINGS)));
     }
 
+    /** Starts an agent beside an engine of its own. */
+    void startEngine(String name) {
+        EngineStandin engine = new EngineStandin(runtime.system(), 0, 5, 8);
+        engines.add(engine);
+        AgentSettings settings = new AgentSettings(name, "sul-a", HOST, 0, 0, MODEL, engine.address(), 100);
+        Agent agent = new Agent(settings, runtime.system(), runtime.group(), runtime.clock(), new EventLog(name));
+        agents.put(name, agent);
+        list.put(member(name, MemberRole.AGENT, agent.wirePort(), 0, List.of(MODEL)));
+        await(() -> entries.stream()
+                .allMatch(entry -> entry.directory().usable(MODEL).stream()
+                        .anyMatch(link ->
+                                link.id().value().equals(name) && link.member().wirePort() == agent.wirePort())));
+    }
+
+    /** Starts a stream of {@code tokens} events through entry instance 1 or 2. */
+    CompletableFuture<HttpResponse<String>> stream(int entry, int tokens) {
+        String chat = "{\"model\":\"campaign-text\",\"stream\":true,\"max_tokens\":" + tokens
+                + ",\"messages\":[{\"role\":\"user\",\"content\":\"caption\"}]}";
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address(entry) + "/v1/chat/completions"))
+                .header("X-Workspace", "cooperative")
+                .POST(HttpRequest.BodyPublishers.ofString(chat))
+                .build();
+        return client.sendAsync(request, BodyHandlers.ofString());
+    }
+
+    String address(int entry) {
+        return HOST + ":" + entries.get(entry - 1).callerPort();
+    }
+
+    /** Returns the address list that entry instance 1 or 2 gives. */
+    String addressesAt(int entry) {
+        URI uri = URI.create("http://" + address(entry) + "/v1/addresses?workspace=cooperative");
+        return client.sendAsync(HttpRequest.newBuilder(uri).build(), BodyHandlers.ofString())
+                .join()
+                .body();
+    }
+
     private void startEntry(String name) {
         EntrySettings settings =
-                new EntrySettings(name, "sul-a", HOST, 0, 0, 0, log.address(), list.address(), 100, 5_000, 1_048_576);
+                new EntrySettings(name, "sul-a", HOST, 0, 0, 0, log.address(), list.address(), 100, 500, 1_048_576);
         EntryInstance entry = new EntryInstance(
                 settings,
                 runtime.system(),
@@ -169,6 +207,7 @@
     public void close() {
         entries.forEach(EntryInstance::close);
         agents.values().forEach(Agent::close);
+        engines.forEach(EngineStandin::close);
         bookings.close();
         list.close();
         log.close();
--- a/core/src/main/java/org/jasminehub/core/drain/EntryDrain.java
+++ b/core/src/main/java/org/jasminehub/core/drain/EntryDrain.java
@@ -8,7 +8,7 @@
  * The planned stop of one entry instance: its phase, its events and its report.
  *
  * <p>Call {@link #advance()} at intervals until it returns {@link DrainPhase#STOPPED}. Not safe for use by several
- * threads.
+ * threads, but for {@link #takesRequests}.
  */
 public final class EntryDrain {
     private final String instance;
@@ -17,7 +17,7 @@
     private final Clock clock;
     private final EventSink events;
     private final long startedMillis;
-    private DrainPhase phase = DrainPhase.ANNOUNCED;
+    private volatile DrainPhase phase = DrainPhase.ANNOUNCED;
 
     /** Starts the stop; the instance must have left the address list. */
     public EntryDrain(
--- a/entry/src/main/java/org/jasminehub/entry/EntryInstance.java
+++ b/entry/src/main/java/org/jasminehub/entry/EntryInstance.java
@@ -1,9 +1,11 @@
 package org.jasminehub.entry;
 
 import java.util.List;
+import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.jasminehub.core.address.AddressPolicy;
+import org.jasminehub.core.drain.EntryDrainPolicy;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.FailureDomain;
 import org.jasminehub.core.identity.InstanceId;
@@ -17,6 +19,7 @@
 import org.jasminehub.entry.control.documents.WirePeerClient;
 import org.jasminehub.entry.control.members.MembershipController;
 import org.jasminehub.entry.control.members.PeerLinks;
+import org.jasminehub.entry.drain.DrainController;
 import org.jasminehub.entry.endpoint.EndpointDirectory;
 import org.jasminehub.entry.filter.RequestFilter;
 import org.jasminehub.entry.filter.RequestHandler;
@@ -55,6 +58,8 @@
     private static final long RECORDS_INTERVAL_MILLIS = 1_000;
     private static final long LOG_RETRY_INTERVAL_MILLIS = 250;
     private static final long HOME_ROUND_MILLIS = 500;
+    private static final long LIST_LAG_MILLIS = 3_000;
+    private static final long MAX_DRAIN_MILLIS = 900_000;
 
     private final EntrySettings settings;
     private final long incarnation;
@@ -64,6 +69,7 @@
     private final EndpointDirectory directory;
     private final WirePeerClient peerRecords;
     private final HomeTableController homes;
+    private final DrainController drain;
     private final WireServer wireServer;
     private final CallerServer callerServer;
 
@@ -77,6 +83,12 @@
             EventSink events) {
         this.settings = settings;
         this.incarnation = clock.wallMillis();
+        this.drain = new DrainController(
+                settings.instance(),
+                new EntryDrainPolicy(LIST_LAG_MILLIS, settings.addressTtlMillis(), MAX_DRAIN_MILLIS),
+                control,
+                clock,
+                events);
         this.peerLinks = new PeerLinks(group, this::hello);
         this.membership = newMembership(system, clock, events);
         this.directory = new EndpointDirectory(group, this::hello, clock, membership);
@@ -97,7 +109,7 @@
         HttpLogService log = new HttpLogService(system, settings.log(), PLATFORM_TIMEOUT_MILLIS);
         this.homes = new HomeTableController(new InstanceId(settings.instance()), control, log, directory);
         OperationFilter operations = new OperationFilter(directory, homes, clock, events);
-        RequestHandler chain = RequestFilter.chain(List.of(operations), operations.terminal(relay));
+        RequestHandler chain = RequestFilter.chain(List.of(operations, drain), operations.terminal(relay));
         this.callerServer = new CallerServerFactory(
                         system,
                         settings,
@@ -106,7 +118,7 @@
                         ids,
                         clock,
                         events)
-                .start(chain, new OperationKeyPage(directory));
+                .start(chain, new OperationKeyPage(directory), drain::isLeaving);
         startControllers(documents);
     }
 
@@ -140,6 +152,13 @@
         return homes;
     }
 
+    /** Begins a planned stop and says so to its peers; the stage completes when nothing is left to serve. */
+    public CompletionStage<Void> drain() {
+        CompletionStage<Void> stopped = drain.begin();
+        control.execute(wireServer::broadcastHello);
+        return stopped;
+    }
+
     /** Stops at once; requests that run are cut. */
     @Override
     public void close() {
@@ -200,6 +219,7 @@
                 .setInstance(settings.instance())
                 .setIncarnation(incarnation)
                 .setFailureDomain(settings.failureDomain())
+                .setLeaving(drain.isLeaving())
                 .addAllMembers(membership.reports())
                 .build();
     }
--- a/entry/src/main/java/org/jasminehub/entry/http/AddressPage.java
+++ b/entry/src/main/java/org/jasminehub/entry/http/AddressPage.java
@@ -3,24 +3,29 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.jasminehub.core.address.AddressPolicy;
 import org.jasminehub.core.identity.WorkspaceId;
+import org.jasminehub.core.membership.Member;
 import org.jasminehub.core.membership.MemberRole;
+import org.jasminehub.entry.EntrySettings;
 import org.jasminehub.entry.control.ControlState;
 
 /** Answers which entry instances a workspace's callers should connect to. Safe for use by several threads. */
 final class AddressPage {
     private final Supplier<ControlState> state;
     private final AddressPolicy policy;
-    private final int ttlMillis;
+    private final EntrySettings settings;
+    private final BooleanSupplier isLeaving;
 
-    AddressPage(Supplier<ControlState> state, AddressPolicy policy, int ttlMillis) {
+    AddressPage(Supplier<ControlState> state, AddressPolicy policy, EntrySettings settings, BooleanSupplier isLeaving) {
         this.state = state;
         this.policy = policy;
-        this.ttlMillis = ttlMillis;
+        this.settings = settings;
+        this.isLeaving = isLeaving;
     }
 
     CompletionStage<HttpResponse> handle(HttpRequest request) {
@@ -28,11 +33,19 @@
         if (workspace.isBlank()) {
             return CompletableFuture.failedFuture(RequestReader.malformed("the query needs workspace=NAME"));
         }
-        List<String> addresses =
-                policy.choose(new WorkspaceId(workspace), state.get().membersOf(MemberRole.ENTRY)).stream()
-                        .map(member -> member.host() + ":" + member.callerPort())
-                        .toList();
-        return CompletableFuture.completedFuture(Responses.json(new AddressesJson(addresses, ttlMillis)));
+        List<Member> entries = state.get().membersOf(MemberRole.ENTRY).stream()
+                .filter(this::isNamed)
+                .toList();
+        List<String> addresses = policy.choose(new WorkspaceId(workspace), entries).stream()
+                .map(member -> member.host() + ":" + member.callerPort())
+                .toList();
+        return CompletableFuture.completedFuture(
+                Responses.json(new AddressesJson(addresses, settings.addressTtlMillis())));
+    }
+
+    private boolean isNamed(Member member) {
+        boolean isSelf = member.id().value().equals(settings.instance());
+        return !(isSelf && isLeaving.getAsBoolean());
     }
 
     /** The answer: addresses, the preferred one first, and how long they may be kept. */
--- a/entry/src/main/java/org/jasminehub/entry/http/CallerServerFactory.java
+++ b/entry/src/main/java/org/jasminehub/entry/http/CallerServerFactory.java
@@ -1,6 +1,7 @@
 package org.jasminehub.entry.http;
 
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.jasminehub.core.address.AddressPolicy;
@@ -41,9 +42,12 @@
         this.events = events;
     }
 
-    /** Starts a server that answers requests with {@code chain} and operation keys with {@code operationKeys}. */
-    public CallerServer start(RequestHandler chain, OperationKeyPage operationKeys) {
-        AddressPage addressPage = new AddressPage(state, addresses, settings.addressTtlMillis());
+    /**
+     * Starts a server that answers requests with {@code chain} and operation keys with {@code operationKeys}; it names itself to callers unless
+     * {@code isLeaving}.
+     */
+    public CallerServer start(RequestHandler chain, OperationKeyPage operationKeys, BooleanSupplier isLeaving) {
+        AddressPage addressPage = new AddressPage(state, addresses, settings, isLeaving);
         StatusPage statusPage = new StatusPage(settings.instance(), state);
         return new CallerServer(
                 system,
