--- a/entry/src/main/java/org/jasminehub/entry/relay/RelaySession.java
+++ b/entry/src/main/java/org/jasminehub/entry/relay/RelaySession.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import org.jasminehub.core.document.RouteKind;
 import org.jasminehub.core.error.ErrorCode;
@@ -13,6 +12,9 @@
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.identity.FailureDomain;
+import org.jasminehub.core.retry.FailedAttempt;
+import org.jasminehub.core.retry.RetryDecision;
+import org.jasminehub.core.retry.RetryPolicy;
 import org.jasminehub.core.routing.EndpointChoice;
 import org.jasminehub.core.routing.EndpointPolicy;
 import org.jasminehub.core.routing.EndpointState;
@@ -20,6 +22,7 @@
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.entry.endpoint.EndpointDirectory;
 import org.jasminehub.entry.endpoint.EndpointLink;
+import org.jasminehub.entry.filter.Failures;
 import org.jasminehub.entry.filter.RequestContext;
 
 /** The attempts of one request, one after the other, each at another endpoint. Used by one thread at a time. */
@@ -33,6 +36,7 @@
     private final Clock clock;
     private final EventSink events;
     private final DelayedExecutor delays;
+    private final RetryPolicy retries;
     private final List<EndpointId> tried = new ArrayList<>();
 
     RelaySession(
@@ -42,7 +46,8 @@
             EndpointPolicy policy,
             Clock clock,
             EventSink events,
-            DelayedExecutor delays) {
+            DelayedExecutor delays,
+            RetryPolicy retries) {
         this.context = context;
         this.origin = origin;
         this.directory = directory;
@@ -50,10 +55,12 @@
         this.clock = clock;
         this.events = events;
         this.delays = delays;
+        this.retries = retries;
     }
 
     /** Returns the first attempt whose head arrives. */
     CompletionStage<Attempt> begin() {
+        retries.firstAttempt(subject());
         return attempt(0);
     }
 
@@ -92,14 +99,14 @@
         return attempt.head()
                 .handle((head, failure) -> failure == null
                         ? CompletableFuture.completedFuture(attempt)
-                        : retryAfter(toRequestException(failure), resumeFromChunk))
+                        : retryAfter(Failures.toRequestException(failure), resumeFromChunk))
                 .thenCompose(stage -> stage);
     }
 
     private CompletionStage<Attempt> retryAfter(RequestException failure, int resumeFromChunk) {
-        boolean harmless = failure.outcome() == Outcome.NOT_RUN || context.isRepeatable();
-        boolean allowed = tried.size() < context.route().retry().maxAttempts() && remainingMillis() > 0;
-        if (!harmless || !allowed) {
+        RetryDecision decision = retries.decide(
+                new FailedAttempt(subject(), tried.size(), failure.code(), failure.outcome(), remainingMillis(), 0));
+        if (decision != RetryDecision.AGAIN) {
             return CompletableFuture.failedFuture(failure);
         }
         events.emit(new AttemptRetried(
@@ -111,10 +118,15 @@
         return attempt(resumeFromChunk)
                 .handle((attempt, problem) -> attempt != null
                         ? CompletableFuture.completedFuture(attempt)
-                        : CompletableFuture.<Attempt>failedFuture(worseOf(failure, toRequestException(problem))))
+                        : CompletableFuture.<Attempt>failedFuture(
+                                worseOf(failure, Failures.toRequestException(problem))))
                 .thenCompose(stage -> stage);
     }
 
+    private FailedAttempt.Subject subject() {
+        return new FailedAttempt.Subject(context.request().workspace(), context.route());
+    }
+
     /** A later "not run" says nothing of an earlier attempt that may have run. */
     private static RequestException worseOf(RequestException earlier, RequestException later) {
         return earlier.outcome() == Outcome.UNKNOWN ? earlier : later;
@@ -157,14 +169,4 @@
     private long remainingMillis() {
         return Math.max(0, context.deadlineMillis() - clock.monotonicMillis());
     }
-
-    static RequestException toRequestException(Throwable failure) {
-        Throwable cause =
-                failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
-        if (cause instanceof RequestException known) {
-            return known;
-        }
-        return new RequestException(
-                ErrorCode.INTERNAL, Outcome.UNKNOWN, RequestException.NO_RETRY, String.valueOf(cause), cause);
-    }
 }
