The demo is ready only when bookings have their homes

Cause: tried as a new user, the booking command of the README was answered not-ready three times right after ready was printed. Ruled out: longer waiting in the README. Change: ready waits until every entry instance knows the homes of booking keys.

--- a/app/src/main/java/org/jasminehub/app/demo/Demo.java
+++ b/app/src/main/java/org/jasminehub/app/demo/Demo.java
@@ -123,7 +123,8 @@
     private boolean isReady(EntryInstance entry) {
         return entry.isReady()
                 && entry.directory().usable(MODEL).size() == ENGINE_COUNT
-                && entry.directory().usable(BOOKINGS).size() == 1;
+                && entry.directory().usable(BOOKINGS).size() == 1
+                && entry.homes().current(BOOKINGS.name()).isPresent();
     }
 
     private void startAgent(String name, String domain, Target target, Address endpoint) {
