Serve the hosting platform's callers through a gateway module

Cause: the users' platform has no machine for control and no disk, and callers connect by an address list; the existing entry instance expects agents, an instance list and documents of our own. Ruled out: the agent link as the data path there, since a plain service has no machine beside it. Change: platform/hosted decodes the platform's records, core has the types and decisions, gateway the entry program on one event loop with strict HTTP framing, forward-only configuration and straight relay. Before: no program for the platform.

--- /dev/null
+++ b/core/src/main/java/org/jasminehub/core/serving/RouteTable.java
@@ -0,0 +1,91 @@
+package org.jasminehub.core.serving;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One version of the configuration: routes, services, keys and limits. Immutable.
+ *
+ * <pre>{@code
+ * Optional<Route> route = table.match("text.example", "/drafts/7");
+ * }</pre>
+ */
+public final class RouteTable {
+    private final long version;
+    private final Map<String, List<Route>> routesByHost;
+    private final Map<String, ServiceProfile> services;
+    private final Map<String, WorkspaceGrant> grants;
+    private final boolean needsKeys;
+    private final CallerLimits limits;
+
+    /**
+     * Creates a table.
+     *
+     * @param grants what each key stands for
+     * @param needsKeys whether calls on routes that are not public need a key
+     */
+    public RouteTable(
+            long version,
+            List<Route> routes,
+            Map<String, ServiceProfile> services,
+            Map<String, WorkspaceGrant> grants,
+            boolean needsKeys,
+            CallerLimits limits) {
+        this.version = version;
+        this.routesByHost = byHost(routes);
+        this.services = Map.copyOf(services);
+        this.grants = Map.copyOf(grants);
+        this.needsKeys = needsKeys;
+        this.limits = limits;
+    }
+
+    private static Map<String, List<Route>> byHost(List<Route> routes) {
+        Map<String, List<Route>> result = new HashMap<>();
+        for (Route route : routes) {
+            result.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
+        }
+        Comparator<Route> longestFirst = Comparator.comparingInt(
+                        (Route route) -> route.pathPrefix().length())
+                .reversed();
+        result.values().forEach(ofHost -> ofHost.sort(longestFirst));
+        return result;
+    }
+
+    /** Returns the version, which only grows. */
+    public long version() {
+        return version;
+    }
+
+    /** Returns the services by name. */
+    public Map<String, ServiceProfile> services() {
+        return services;
+    }
+
+    /** Returns the limits for callers. */
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    /** Returns whether calls on routes that are not public need a key. */
+    public boolean needsKeys() {
+        return needsKeys;
+    }
+
+    /** Returns what {@code key} stands for, empty where no workspace holds it. */
+    public Optional<WorkspaceGrant> grant(String key) {
+        return Optional.ofNullable(grants.get(key));
+    }
+
+    /** Returns the route of {@code host} with the longest prefix of {@code path}; the host's case does not matter. */
+    public Optional<Route> match(String host, String path) {
+        List<Route> ofHost = routesByHost.getOrDefault(host.toLowerCase(Locale.ROOT), List.of());
+        return ofHost.stream()
+                .filter(route -> path.startsWith(route.pathPrefix()))
+                .findFirst();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/jasminehub/gateway/DirectoryHandler.java
@@ -0,0 +1,82 @@
+package org.jasminehub.gateway;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.jasminehub.core.identity.FailureDomain;
+import org.jasminehub.gateway.net.CallerAnswer;
+import org.jasminehub.gateway.net.CallerExchange;
+import org.jasminehub.gateway.net.CallerHandler;
+import org.jasminehub.gateway.net.CallerRequest;
+import org.jasminehub.platform.hosted.DirectoryAdapter;
+import org.jasminehub.wire.generated.InstanceRecord;
+
+/** Tells callers where to connect, and the platform whether this instance is ready. */
+final class DirectoryHandler implements CallerHandler {
+    /** Short, so that callers leave a stopping instance early; each answer costs a few hundred bytes. */
+    static final long TTL_MILLIS = 2_000;
+
+    /** The most addresses that callers look at. */
+    private static final int MAX_ADDRESSES = 64;
+
+    private static final CallerExchange NOTHING_OPEN = new CallerExchange() {
+        @Override
+        public void onCallerGone() {}
+
+        @Override
+        public void onWritabilityChanged(boolean isWritable) {}
+    };
+
+    private final BooleanSupplier isReady;
+    private final Supplier<List<InstanceRecord>> instances;
+    private final GatewaySettings settings;
+
+    DirectoryHandler(BooleanSupplier isReady, Supplier<List<InstanceRecord>> instances, GatewaySettings settings) {
+        this.isReady = isReady;
+        this.instances = instances;
+        this.settings = settings;
+    }
+
+    @Override
+    public CallerExchange handle(CallerRequest request, CallerAnswer answer) {
+        if (DirectoryAdapter.isReadiness(request.uri())) {
+            respond(answer, isReady.getAsBoolean() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
+        } else if (DirectoryAdapter.isResolution(request.uri())) {
+            resolve(request, answer);
+        } else {
+            respond(answer, HttpResponseStatus.NOT_FOUND);
+        }
+        return NOTHING_OPEN;
+    }
+
+    private void resolve(CallerRequest request, CallerAnswer answer) {
+        FailureDomain near = DirectoryAdapter.callerDomain(request.uri());
+        List<InstanceRecord> known = new ArrayList<>(instances.get());
+        if (known.isEmpty()) {
+            respond(answer, HttpResponseStatus.SERVICE_UNAVAILABLE);
+            return;
+        }
+        known.sort(Comparator.comparing(
+                        (InstanceRecord each) -> !each.getFailureDomain().equals(near.value()))
+                .thenComparing(InstanceRecord::getInstance));
+        List<String> addresses = known.stream()
+                .limit(MAX_ADDRESSES)
+                .map(each -> each.getHost() + ":" + each.getCallerPort())
+                .toList();
+        long ttlMillis = (long) Math.min(TTL_MILLIS, settings.addressTtlSeconds() * TimeUnit.SECONDS.toMillis(1));
+        HttpHeaders headers = new DefaultHttpHeaders(false);
+        headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+        answer.whole(HttpResponseStatus.OK, headers, DirectoryAdapter.encode(addresses, ttlMillis));
+    }
+
+    private static void respond(CallerAnswer answer, HttpResponseStatus status) {
+        answer.whole(status, new DefaultHttpHeaders(false), new byte[0]);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -0,0 +1,240 @@
+package org.jasminehub.gateway;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.jasminehub.core.balance.EndpointChoicePolicy;
+import org.jasminehub.core.balance.EndpointLoads;
+import org.jasminehub.core.balance.RepeatBudget;
+import org.jasminehub.core.event.EventSink;
+import org.jasminehub.core.identity.FailureDomain;
+import org.jasminehub.core.serving.CallerLimits;
+import org.jasminehub.core.serving.RouteTable;
+import org.jasminehub.core.time.Clock;
+import org.jasminehub.gateway.call.CallDispatcher;
+import org.jasminehub.gateway.call.CallEnded;
+import org.jasminehub.gateway.call.CallEventKind;
+import org.jasminehub.gateway.call.CallPipeline;
+import org.jasminehub.gateway.call.CallSettings;
+import org.jasminehub.gateway.call.ConfigurationView;
+import org.jasminehub.gateway.control.ConfigurationController;
+import org.jasminehub.gateway.control.ControlEvent;
+import org.jasminehub.gateway.control.ControlEventKind;
+import org.jasminehub.gateway.control.DelayedRunner;
+import org.jasminehub.gateway.control.EndpointController;
+import org.jasminehub.gateway.control.FollowerSettings;
+import org.jasminehub.gateway.control.InstanceDirectory;
+import org.jasminehub.gateway.net.CallerHandler;
+import org.jasminehub.gateway.net.CallerServer;
+import org.jasminehub.gateway.net.EndpointAddress;
+import org.jasminehub.gateway.net.EndpointClient;
+import org.jasminehub.gateway.net.StoreConnection;
+import org.jasminehub.platform.hosted.StoreClient;
+import org.jasminehub.wire.generated.InstanceRecord;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * An entry instance on the hosting platform: callers connect to it, and it sends their calls straight to endpoints.
+ *
+ * <p>All its state belongs to one event loop.
+ */
+final class EntryProgram implements ConfigurationView {
+    /** A read of the configuration waits this long for a new version; its age stays far below the revocation bound. */
+    private static final FollowerSettings CONFIGURATION_READS = new FollowerSettings(1_600, 0, 600);
+
+    /** Registrations change all the time, so they are read in turns; half a second is a fourth of the drain time. */
+    private static final FollowerSettings ENDPOINT_READS = new FollowerSettings(0, 500, 600);
+
+    /** Other instances come and go rarely. */
+    private static final FollowerSettings INSTANCE_READS = new FollowerSettings(8_000, 0, 600);
+
+    /** Part of the revocation bound within which knowledge of the configuration is trusted; the rest is margin. */
+    private static final double TRUSTED_SHARE = 0.9;
+
+    /** How often both clocks are compared and idle connections closed. */
+    private static final long TICK_MILLIS = 200;
+
+    /** Clocks that drift further apart than this within a tick tell of a suspension or a step. */
+    private static final long SUSPENSION_MILLIS = 150;
+
+    private final GatewaySettings settings;
+    private final Clock clock;
+    private final EventSink events;
+    private final EventLoop loop;
+    private final DelayedRunner timer;
+    private final EndpointClient client;
+    private final ConfigurationController configuration;
+    private final EndpointController endpoints;
+    private final InstanceDirectory instances;
+    private final EndpointLoads loads;
+    private final RepeatBudget budget;
+    private final CallDispatcher dispatcher;
+    private @Nullable CallerServer callers;
+    private long clockDifferenceMillis;
+    private boolean isReady;
+    private boolean isStopping;
+
+    EntryProgram(GatewaySettings settings, Clock clock, EventSink events) {
+        this.settings = settings;
+        this.clock = clock;
+        this.events = events;
+        this.loop = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("gateway"), NioIoHandler.newFactory())
+                .next();
+        this.timer = (delayMillis, action) -> loop.schedule(action, delayMillis, TimeUnit.MILLISECONDS);
+        this.client = new EndpointClient(loop, clock);
+        StoreClient store =
+                new StoreClient(new StoreConnection(loop, client, EndpointAddress.parse(settings.storeAddress())));
+        this.configuration = new ConfigurationController(store, CONFIGURATION_READS, timer, clock, events);
+        this.endpoints = new EndpointController(store, ENDPOINT_READS, timer, clock, events);
+        this.instances = new InstanceDirectory(self(settings, clock), store, INSTANCE_READS, timer, clock, events);
+        this.loads = new EndpointLoads(clock);
+        RandomGenerator random = new SplittableRandom(settings.instance().hashCode() ^ clock.wallMillis());
+        this.budget = new RepeatBudget(clock, settings.repeatRatio(), settings.repeatReserve(), (long)
+                (settings.repeatWindowSeconds() * TimeUnit.SECONDS.toMillis(1)));
+        this.dispatcher = new CallDispatcher(
+                loop,
+                clock,
+                client,
+                endpoints,
+                loads,
+                new EndpointChoicePolicy(loads, new FailureDomain(settings.failureDomain()), random),
+                budget,
+                service -> service == null || service.engine() == null ? 3.0 : 1.0,
+                random,
+                events);
+    }
+
+    private static InstanceRecord self(GatewaySettings settings, Clock clock) {
+        EndpointAddress caller = EndpointAddress.parse(settings.callerAddress());
+        return InstanceRecord.newBuilder()
+                .setInstance(settings.instance())
+                .setHost(caller.host())
+                .setCallerPort(caller.port())
+                .setPeerPort(EndpointAddress.parse(settings.peerAddress()).port())
+                .setFailureDomain(settings.failureDomain())
+                .setStartedWallMillis(clock.wallMillis())
+                .build();
+    }
+
+    /** Starts to listen and to learn; returns once the process listens. */
+    void start() {
+        clockDifferenceMillis = clock.wallMillis() - clock.monotonicMillis();
+        CallPipeline pipeline = new CallPipeline(
+                clock, this, new CallSettings((long) (settings.revocationMillis() * TRUSTED_SHARE)), dispatcher);
+        callers = listen(settings.callerAddress(), pipeline);
+        DirectoryHandler directory = new DirectoryHandler(() -> isReady, instances::all, settings);
+        listen(settings.readinessAddress(), directory);
+        listen(settings.directoryAddress(), directory);
+        loop.execute(() -> {
+            configuration.start(this::review);
+            endpoints.start(this::onEndpointsChanged, gone -> client.forget(addressOf(gone.host(), gone.port())));
+            instances.start(
+                    () -> budget.setInstances(Math.max(1, instances.all().size())));
+            tick();
+        });
+        events.emit(new ControlEvent(
+                ControlEventKind.PROCESS_STARTED, settings.instance(), "listens at " + settings.callerAddress(), 0));
+    }
+
+    private CallerServer listen(String address, CallerHandler handler) {
+        return CallerServer.start(
+                loop,
+                EndpointAddress.parse(address),
+                () -> configuration.inForce().map(RouteTable::limits).orElse(CallerLimits.DEFAULT),
+                handler,
+                this::onMalformed);
+    }
+
+    private void onMalformed(int status, String reason) {
+        events.emit(new CallEnded(
+                CallEventKind.REQUEST_MALFORMED,
+                "",
+                "",
+                "",
+                status,
+                "request-malformed",
+                reason,
+                "",
+                0,
+                0,
+                0,
+                -1,
+                0,
+                configuration.inForce().map(RouteTable::version).orElse(0L),
+                configuration.ageMillis()));
+    }
+
+    private static EndpointAddress addressOf(String host, int port) {
+        return new EndpointAddress(host, port);
+    }
+
+    private void onEndpointsChanged() {
+        dispatcher.drainLines();
+        review();
+    }
+
+    @Override
+    public Optional<RouteTable> inForce() {
+        return configuration.inForce();
+    }
+
+    @Override
+    public long ageMillis() {
+        return configuration.ageMillis();
+    }
+
+    private void tick() {
+        long differenceMillis = clock.wallMillis() - clock.monotonicMillis();
+        if (Math.abs(differenceMillis - clockDifferenceMillis) > SUSPENSION_MILLIS) {
+            events.emit(new ControlEvent(
+                    ControlEventKind.SUSPENSION_NOTICED,
+                    settings.instance(),
+                    "clocks moved apart by " + (differenceMillis - clockDifferenceMillis) + " ms",
+                    0));
+            configuration.refresh();
+            endpoints.refresh();
+        }
+        clockDifferenceMillis = differenceMillis;
+        client.closeIdle();
+        review();
+        timer.runAfter(TICK_MILLIS, this::tick);
+    }
+
+    /** Works out anew whether this instance takes callers. */
+    private void review() {
+        boolean isTrusted = configuration.inForce().isPresent()
+                && configuration.ageMillis() < settings.revocationMillis() * TRUSTED_SHARE;
+        boolean next = isTrusted && endpoints.ageMillis() != Long.MAX_VALUE && !isStopping;
+        if (next != isReady) {
+            isReady = next;
+            events.emit(new ControlEvent(
+                    ControlEventKind.READINESS_CHANGED,
+                    settings.instance(),
+                    next ? "ready" : "not ready",
+                    configuration.ageMillis()));
+        }
+    }
+
+    /** Finishes the open calls and leaves; blocks until that is done or the grace time is nearly over. */
+    void stop() {
+        StopSequence sequence = new StopSequence(settings, clock, timer, events);
+        loop.execute(() -> {
+            isStopping = true;
+            review();
+            instances.leave();
+            CallerServer open = callers;
+            if (open == null) {
+                sequence.finish();
+            } else {
+                open.stopKeeping();
+                sequence.run(open, dispatcher::openCalls);
+            }
+        });
+        sequence.await();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/jasminehub/gateway/Main.java
@@ -0,0 +1,106 @@
+package org.jasminehub.gateway;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.jasminehub.core.error.JasminehubException;
+import org.jasminehub.core.event.EventSink;
+import org.jasminehub.core.time.Clock;
+import org.jasminehub.gateway.control.ControlEvent;
+import org.jasminehub.gateway.control.ControlEventKind;
+import org.jasminehub.runtime.log.EventLog;
+import org.jasminehub.runtime.settings.SettingsLoader;
+import org.jasminehub.runtime.time.SystemClock;
+import org.jspecify.annotations.Nullable;
+import sun.misc.Signal;
+
+/** The command line of the programs on the hosting platform. */
+public final class Main {
+    static final int EXIT_OK = 0;
+    static final int EXIT_USAGE = 2;
+
+    private static final String SETTINGS_VARIABLE = "JASMINEHUB_BOOT";
+
+    private final PrintStream err;
+
+    @Parameter(description = "entry | rank-agent")
+    private List<String> roles = new ArrayList<>();
+
+    @Parameter(names = "--settings", description = "the settings file; by default the one that JASMINEHUB_BOOT names")
+    private @Nullable String settingsPath = System.getenv(SETTINGS_VARIABLE);
+
+    @Parameter(names = "--check", description = "reads the settings, says whether they can be used, and ends")
+    private boolean isCheck;
+
+    @Parameter(names = "--help", help = true, description = "shows this help")
+    private boolean help;
+
+    Main(PrintStream err) {
+        this.err = err;
+    }
+
+    /** Runs a role until the process is told to stop. */
+    public static void main(String[] args) {
+        int code = new Main(System.err).run(args);
+        if (code != EXIT_OK) {
+            System.exit(code);
+        }
+    }
+
+    int run(String... args) {
+        JCommander parser = JCommander.newBuilder()
+                .programName("jasminehub-gateway")
+                .addObject(this)
+                .build();
+        try {
+            parser.parse(args);
+            if (help) {
+                parser.usage();
+                return EXIT_OK;
+            }
+            if (roles.size() != 1 || settingsPath == null) {
+                throw new ParameterException("one role and a settings file are needed");
+            }
+            return start(roles.get(0), Path.of(settingsPath));
+        } catch (ParameterException e) {
+            err.println("jasminehub-gateway: " + e.getMessage());
+            return EXIT_USAGE;
+        } catch (JasminehubException e) {
+            err.println("jasminehub-gateway: " + e.code().code() + ": " + e.getMessage());
+            return EXIT_USAGE;
+        }
+    }
+
+    private int start(String role, Path path) {
+        Clock clock = new SystemClock();
+        if (!role.equals("entry")) {
+            throw new ParameterException("no such role: " + role);
+        }
+        GatewaySettings settings = new SettingsLoader().load(path, GatewaySettings.class);
+        if (isCheck) {
+            return EXIT_OK;
+        }
+        EventSink events = new EventLog(settings.instance());
+        EntryProgram program = new EntryProgram(settings, clock, events);
+        program.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(program::stop, "stop"));
+        // Without a handler of its own the Java machine would end on this signal.
+        Signal.handle(new Signal("HUP"), signal -> reload(path, settings, events));
+        return EXIT_OK;
+    }
+
+    private static void reload(Path path, GatewaySettings inForce, EventSink events) {
+        String outcome;
+        try {
+            GatewaySettings read = new SettingsLoader().load(path, GatewaySettings.class);
+            outcome = read.equals(inForce) ? "nothing changed" : "changes take force at the next start";
+        } catch (JasminehubException e) {
+            outcome = "kept the old ones: " + e.getMessage();
+        }
+        events.emit(new ControlEvent(ControlEventKind.SETTINGS_RELOADED, inForce.instance(), outcome, 0));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/jasminehub/gateway/StopSequence.java
@@ -0,0 +1,73 @@
+package org.jasminehub.gateway;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
+import org.jasminehub.core.event.EventSink;
+import org.jasminehub.core.time.Clock;
+import org.jasminehub.gateway.control.ControlEvent;
+import org.jasminehub.gateway.control.ControlEventKind;
+import org.jasminehub.gateway.control.DelayedRunner;
+import org.jasminehub.gateway.net.CallerServer;
+
+/** A planned stop: serves callers that still know this address, then finishes open calls inside the grace time. */
+final class StopSequence {
+    private static final long POLL_MILLIS = 50;
+    /** Callers that ask again learn other addresses within the time to live of the list, plus a round trip. */
+    private static final long LIST_SLACK_MILLIS = 500;
+    /** Left of the grace time when the process ends by itself, so that it is never killed over an open call. */
+    private static final long END_MARGIN_MILLIS = 400;
+
+    private final GatewaySettings settings;
+    private final Clock clock;
+    private final DelayedRunner timer;
+    private final EventSink events;
+    private final CountDownLatch done = new CountDownLatch(1);
+    private final long startedMillis;
+
+    StopSequence(GatewaySettings settings, Clock clock, DelayedRunner timer, EventSink events) {
+        this.settings = settings;
+        this.clock = clock;
+        this.timer = timer;
+        this.events = events;
+        this.startedMillis = clock.monotonicMillis();
+    }
+
+    void run(CallerServer callers, IntSupplier openCalls) {
+        events.emit(new ControlEvent(
+                ControlEventKind.PROCESS_STOPPING, settings.instance(), openCalls.getAsInt() + " open calls", 0));
+        poll(callers, openCalls);
+    }
+
+    private void poll(CallerServer callers, IntSupplier openCalls) {
+        long elapsedMillis = clock.monotonicMillis() - startedMillis;
+        boolean isListExpired = elapsedMillis >= DirectoryHandler.TTL_MILLIS + LIST_SLACK_MILLIS;
+        boolean isGraceOver =
+                elapsedMillis >= settings.graceSeconds() * TimeUnit.SECONDS.toMillis(1) - END_MARGIN_MILLIS;
+        if (isListExpired) {
+            callers.closeIdle();
+        }
+        if (isGraceOver || (isListExpired && openCalls.getAsInt() == 0 && callers.connections() == 0)) {
+            events.emit(new ControlEvent(
+                    ControlEventKind.PROCESS_STOPPED,
+                    settings.instance(),
+                    openCalls.getAsInt() + " calls left after " + elapsedMillis + " ms",
+                    0));
+            finish();
+            return;
+        }
+        timer.runAfter(POLL_MILLIS, () -> poll(callers, openCalls));
+    }
+
+    void finish() {
+        done.countDown();
+    }
+
+    void await() {
+        try {
+            done.await((long) settings.graceSeconds(), TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallContext.java
@@ -0,0 +1,39 @@
+package org.jasminehub.gateway.call;
+
+import org.jasminehub.core.serving.Route;
+import org.jasminehub.core.serving.RouteTable;
+import org.jasminehub.core.serving.WorkspaceGrant;
+import org.jasminehub.gateway.net.CallerRequest;
+import org.jasminehub.platform.hosted.CallHeaders;
+import org.jspecify.annotations.Nullable;
+
+/** What the filters found out about a call, each one adding to it. */
+final class CallContext {
+    final CallerRequest request;
+    final long arrivedMillis;
+
+    @Nullable
+    CallHeaders headers;
+
+    @Nullable
+    RouteTable table;
+
+    long tableAgeMillis;
+
+    @Nullable
+    Route route;
+
+    @Nullable
+    WorkspaceGrant grant;
+
+    long deadlineMillis;
+
+    CallContext(CallerRequest request, long arrivedMillis) {
+        this.request = request;
+        this.arrivedMillis = arrivedMillis;
+    }
+
+    String requestId() {
+        return headers == null || headers.requestId() == null ? "" : headers.requestId();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallFilters.java
@@ -0,0 +1,109 @@
+package org.jasminehub.gateway.call;
+
+import java.util.List;
+import java.util.Optional;
+import org.jasminehub.core.error.ErrorCode;
+import org.jasminehub.core.serving.Route;
+import org.jasminehub.core.serving.RouteTable;
+import org.jasminehub.core.time.Clock;
+import org.jasminehub.platform.hosted.CallHeaders;
+import org.jasminehub.platform.hosted.CallHeadersAdapter;
+import org.jasminehub.platform.hosted.RecordRejectedException;
+
+/** The chain of filters that every call passes, in order. */
+final class CallFilters {
+    private static final int UNAUTHORIZED = 401;
+
+    /** Long enough for a process that has just started to read its configuration. */
+    private static final long NOT_READY_RETRY_MILLIS = 400;
+
+    private final Clock clock;
+    private final ConfigurationView configuration;
+    private final CallSettings settings;
+
+    CallFilters(Clock clock, ConfigurationView configuration, CallSettings settings) {
+        this.clock = clock;
+        this.configuration = configuration;
+        this.settings = settings;
+    }
+
+    List<CallFilter> chain() {
+        return List.of(this::readHeaders, this::takeConfiguration, this::matchRoute, this::checkKey, this::setDeadline);
+    }
+
+    private Optional<Refusal> readHeaders(CallContext context) {
+        try {
+            context.headers = CallHeadersAdapter.decode(context.request.headers());
+            return Optional.empty();
+        } catch (RecordRejectedException e) {
+            return Optional.of(Refusal.of(ErrorCode.REQUEST_MALFORMED, String.valueOf(e.getMessage())));
+        }
+    }
+
+    private Optional<Refusal> takeConfiguration(CallContext context) {
+        context.tableAgeMillis = configuration.ageMillis();
+        context.table = configuration.inForce().orElse(null);
+        return context.table == null
+                ? Optional.of(Refusal.later(
+                        ErrorCode.NOT_READY, NOT_READY_RETRY_MILLIS, "no configuration is known here yet"))
+                : Optional.empty();
+    }
+
+    private Optional<Refusal> matchRoute(CallContext context) {
+        RouteTable table = context.table;
+        if (table == null) {
+            return Optional.of(Refusal.of(ErrorCode.INTERNAL, "no configuration was taken"));
+        }
+        context.route =
+                table.match(context.request.host(), context.request.path()).orElse(null);
+        if (context.route != null) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                isTrusted(context)
+                        ? Refusal.of(ErrorCode.ROUTE_UNKNOWN, "no route for this host and path")
+                        : stale(context));
+    }
+
+    private Optional<Refusal> checkKey(CallContext context) {
+        Route route = context.route;
+        RouteTable table = context.table;
+        CallHeaders headers = context.headers;
+        if (route == null || table == null || headers == null || route.isPublic() || !table.needsKeys()) {
+            return Optional.empty();
+        }
+        if (!isTrusted(context)) {
+            return Optional.of(stale(context));
+        }
+        context.grant =
+                headers.key() == null ? null : table.grant(headers.key()).orElse(null);
+        return context.grant == null
+                ? Optional.of(Refusal.of(ErrorCode.WORKSPACE_UNKNOWN, UNAUTHORIZED, "no workspace holds the key sent"))
+                : Optional.empty();
+    }
+
+    private Optional<Refusal> setDeadline(CallContext context) {
+        Route route = context.route;
+        CallHeaders headers = context.headers;
+        if (route == null || headers == null) {
+            return Optional.of(Refusal.of(ErrorCode.INTERNAL, "no route was matched"));
+        }
+        long callerMillis = headers.remainingMillis() == null ? route.timeoutMillis() : headers.remainingMillis();
+        context.deadlineMillis = context.arrivedMillis + Math.min(callerMillis, route.timeoutMillis());
+        return context.deadlineMillis <= clock.monotonicMillis()
+                ? Optional.of(Refusal.of(ErrorCode.DEADLINE_EXCEEDED, "the call came with no time left"))
+                : Optional.empty();
+    }
+
+    /** A revoked key must be unknown here in time, so an old table decides nothing about keys and routes. */
+    private boolean isTrusted(CallContext context) {
+        return context.tableAgeMillis < settings.maxConfigurationAgeMillis();
+    }
+
+    private static Refusal stale(CallContext context) {
+        return Refusal.later(
+                ErrorCode.NOT_READY,
+                NOT_READY_RETRY_MILLIS,
+                "the configuration known here is " + context.tableAgeMillis + " ms old");
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallPipeline.java
@@ -0,0 +1,46 @@
+package org.jasminehub.gateway.call;
+
+import java.util.List;
+import java.util.Optional;
+import org.jasminehub.core.time.Clock;
+import org.jasminehub.gateway.net.CallerAnswer;
+import org.jasminehub.gateway.net.CallerExchange;
+import org.jasminehub.gateway.net.CallerHandler;
+import org.jasminehub.gateway.net.CallerRequest;
+
+/**
+ * Takes calls through the filters and on to an endpoint.
+ *
+ * <pre>{@code
+ * CallerServer.start(loop, address, limits, new CallPipeline(clock, configuration, settings, dispatcher), onMalformed);
+ * }</pre>
+ */
+public final class CallPipeline implements CallerHandler {
+    private final Clock clock;
+    private final List<CallFilter> filters;
+    private final CallDispatcher dispatcher;
+
+    /** Creates a pipeline that hands the calls it lets pass to {@code dispatcher}. */
+    public CallPipeline(
+            Clock clock, ConfigurationView configuration, CallSettings settings, CallDispatcher dispatcher) {
+        this.clock = clock;
+        this.filters = new CallFilters(clock, configuration, settings).chain();
+        this.dispatcher = dispatcher;
+    }
+
+    @Override
+    public CallerExchange handle(CallerRequest request, CallerAnswer answer) {
+        CallContext context = new CallContext(request, clock.monotonicMillis());
+        RunningCall call = new RunningCall(context, answer, dispatcher);
+        for (CallFilter filter : filters) {
+            Optional<Refusal> refusal = filter.apply(context);
+            if (refusal.isPresent()) {
+                call.refuse(refusal.get());
+                return call;
+            }
+        }
+        dispatcher.onCall(call);
+        call.start();
+        return call;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/StreamRelay.java
@@ -0,0 +1,66 @@
+package org.jasminehub.gateway.call;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import org.jasminehub.core.balance.AttemptEnd;
+import org.jasminehub.core.stream.EventSplitter;
+import org.jasminehub.core.stream.StreamEvent;
+import org.jasminehub.gateway.net.CallerAnswer;
+import org.jasminehub.platform.hosted.AnswerHeaders;
+import org.jasminehub.platform.hosted.AnswerHeadersAdapter;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Passes whole events of a stream on as they come, each number once and in order; after a cut the same answer goes on
+ * with another endpoint's events.
+ */
+final class StreamRelay implements AnswerRelay {
+    private final RunningCall call;
+    private final Attempt attempt;
+    private final EventSplitter splitter = new EventSplitter();
+    private HttpResponseStatus status = HttpResponseStatus.OK;
+
+    StreamRelay(RunningCall call, Attempt attempt) {
+        this.call = call;
+        this.attempt = attempt;
+    }
+
+    @Override
+    public void begin(HttpResponseStatus answerStatus, HttpHeaders headers, AnswerHeaders read) {
+        status = answerStatus;
+        if (!call.isHeadSent()) {
+            call.answer().begin(answerStatus, AnswerHeadersAdapter.forCaller(headers), CallerAnswer.UNKNOWN_LENGTH);
+            call.onHeadSent();
+        }
+    }
+
+    @Override
+    public void part(byte[] bytes) {
+        for (StreamEvent event : splitter.take(bytes)) {
+            @Nullable Long last = call.lastEventId();
+            @Nullable Long id = event.id();
+            if (id != null && last != null && id != last + 1) {
+                attempt.fail(AttemptEnd.MAY_HAVE_RUN, "event " + id + " after " + last);
+                return;
+            }
+            call.answer().part(event.bytes());
+            if (id != null) {
+                call.onEventDelivered(id);
+            }
+            attempt.onProgress();
+        }
+        if (!call.answer().isWritable()) {
+            attempt.setReading(false);
+        }
+    }
+
+    @Override
+    public void end() {
+        if (splitter.isInsideEvent()) {
+            attempt.fail(AttemptEnd.MAY_HAVE_RUN, "the stream ended inside an event");
+            return;
+        }
+        attempt.succeed(status.code());
+        call.answer().end();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/AnswerParts.java
@@ -0,0 +1,38 @@
+package org.jasminehub.gateway.net;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+
+/** Writes the parts of an answer that is sent as it arrives. */
+final class AnswerParts {
+    private AnswerParts() {}
+
+    static void begin(
+            ChannelHandlerContext context,
+            HttpResponseStatus status,
+            HttpHeaders headers,
+            long bodyLength,
+            boolean closes) {
+        if (bodyLength == CallerAnswer.UNKNOWN_LENGTH) {
+            headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+            headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        } else {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, bodyLength);
+        }
+        if (closes) {
+            headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        context.write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers));
+    }
+
+    static void part(ChannelHandlerContext context, byte[] bytes) {
+        context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/CallerConnection.java
@@ -0,0 +1,292 @@
+package org.jasminehub.gateway.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.jasminehub.core.serving.CallerLimits;
+import org.jspecify.annotations.Nullable;
+
+/** One caller's connection: reads a request, hands it over, and reads the next one once it is answered. */
+final class CallerConnection extends ChannelInboundHandlerAdapter {
+    /** Parsed parts of later requests that may wait; behind that the connection is not read. */
+    private static final int MAX_WAITING_PARTS = 64;
+
+    private final CallerServer server;
+    private final CallerLimits limits;
+    private final Deque<HttpObject> waiting = new ArrayDeque<>();
+    private @Nullable HttpRequest head;
+    private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    private @Nullable CallerExchange exchange;
+    private @Nullable AnswerWriter writer;
+    private @Nullable ScheduledFuture<?> timer;
+    private boolean isClosing;
+
+    CallerConnection(CallerServer server, CallerLimits limits) {
+        this.server = server;
+        this.limits = limits;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        server.onOpened(context.channel());
+        // A new connection's first request is due like the headers of any other.
+        await(context, limits.headerTimeoutMillis());
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        if (isClosing || !(message instanceof HttpObject part)) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
+        if (writer != null) {
+            waiting.add(part);
+            if (waiting.size() > MAX_WAITING_PARTS) {
+                context.channel().config().setAutoRead(false);
+            }
+            return;
+        }
+        take(context, part);
+    }
+
+    private void take(ChannelHandlerContext context, HttpObject part) {
+        try {
+            if (part.decoderResult().isFailure()) {
+                boolean isTooLong = part.decoderResult().cause() instanceof TooLongFrameException;
+                refuse(
+                        context,
+                        isTooLong ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST,
+                        isTooLong ? "the headers are too large" : "the request cannot be parsed");
+                return;
+            }
+            if (part instanceof HttpRequest request) {
+                onRequestHead(context, request);
+            }
+            if (part instanceof HttpContent content && head != null && !isClosing) {
+                onBody(context, content);
+            }
+        } finally {
+            ReferenceCountUtil.release(part);
+        }
+    }
+
+    private void onRequestHead(ChannelHandlerContext context, HttpRequest request) {
+        String fault = RequestCheck.fault(request);
+        if (fault != null) {
+            refuse(context, HttpResponseStatus.BAD_REQUEST, fault);
+            return;
+        }
+        if (HttpUtil.getContentLength(request, 0L) > limits.bodyBytes()) {
+            refuse(context, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
+            return;
+        }
+        head = request;
+        body = Unpooled.buffer();
+        if (HttpUtil.is100ContinueExpected(request)) {
+            context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
+        await(context, limits.idleTimeoutMillis());
+    }
+
+    private void onBody(ChannelHandlerContext context, HttpContent content) {
+        if (body.readableBytes() + content.content().readableBytes() > limits.bodyBytes()) {
+            refuse(context, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
+            return;
+        }
+        body.writeBytes(content.content());
+        if (content instanceof LastHttpContent) {
+            dispatch(context);
+        }
+    }
+
+    private void dispatch(ChannelHandlerContext context) {
+        HttpRequest request = head;
+        if (request == null) {
+            return;
+        }
+        head = null;
+        byte[] bytes = new byte[body.readableBytes()];
+        body.readBytes(bytes);
+        body.release();
+        body = Unpooled.EMPTY_BUFFER;
+        stopTimer();
+        AnswerWriter answer = new AnswerWriter(context, !HttpUtil.isKeepAlive(request));
+        writer = answer;
+        String host = request.headers().get(HttpHeaderNames.HOST);
+        int port = host.lastIndexOf(':');
+        CallerRequest whole = new CallerRequest(
+                request.method(), request.uri(), port < 0 ? host : host.substring(0, port), request.headers(), bytes);
+        CallerExchange started = server.handler().handle(whole, answer);
+        if (writer == answer) {
+            exchange = started;
+        }
+    }
+
+    private void refuse(ChannelHandlerContext context, HttpResponseStatus status, String reason) {
+        isClosing = true;
+        stopTimer();
+        server.onMalformed(status.code(), reason);
+        DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, status, Unpooled.copiedBuffer(reason + "\n", StandardCharsets.UTF_8));
+        HttpUtil.setContentLength(response, response.content().readableBytes());
+        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    private void onAnswered(ChannelHandlerContext context, boolean closes) {
+        writer = null;
+        exchange = null;
+        if (closes || server.isStopping()) {
+            isClosing = true;
+            context.close();
+            return;
+        }
+        await(context, limits.idleTimeoutMillis());
+        while (writer == null && !isClosing && !waiting.isEmpty()) {
+            take(context, waiting.remove());
+        }
+        context.channel().config().setAutoRead(true);
+    }
+
+    /** Closes the connection where no whole request has come after {@code millis}. */
+    private void await(ChannelHandlerContext context, long millis) {
+        stopTimer();
+        timer = context.executor().schedule(() -> context.close(), millis, TimeUnit.MILLISECONDS);
+    }
+
+    private void stopTimer() {
+        if (timer != null) {
+            timer.cancel(false);
+        }
+    }
+
+    /** Closes the connection if no request of its caller is open. */
+    void closeIfIdle(Channel channel) {
+        if (writer == null && head == null) {
+            isClosing = true;
+            channel.close();
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (exchange != null) {
+            exchange.onWritabilityChanged(context.channel().isWritable());
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.close();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        server.onClosed(context.channel());
+        stopTimer();
+        isClosing = true;
+        body.release();
+        body = Unpooled.EMPTY_BUFFER;
+        waiting.forEach(ReferenceCountUtil::release);
+        waiting.clear();
+        CallerExchange running = exchange;
+        exchange = null;
+        if (running != null) {
+            running.onCallerGone();
+        }
+    }
+
+    /** Writes the answer to the request that is open. */
+    private final class AnswerWriter implements CallerAnswer {
+        private final ChannelHandlerContext context;
+        private final boolean closes;
+
+        AnswerWriter(ChannelHandlerContext context, boolean closes) {
+            this.context = context;
+            this.closes = closes;
+        }
+
+        @Override
+        public void whole(HttpResponseStatus status, HttpHeaders headers, byte[] bytes) {
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(bytes), headers, EmptyHttpHeaders.INSTANCE);
+            if (!headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+                HttpUtil.setContentLength(response, bytes.length);
+            }
+            finish(response, markClose(headers));
+        }
+
+        @Override
+        public void begin(HttpResponseStatus status, HttpHeaders headers, long bodyLength) {
+            AnswerParts.begin(context, status, headers, bodyLength, markClose(headers));
+        }
+
+        @Override
+        public void part(byte[] bytes) {
+            AnswerParts.part(context, bytes);
+        }
+
+        @Override
+        public void end() {
+            finish(LastHttpContent.EMPTY_LAST_CONTENT, closes || server.isStopping());
+        }
+
+        private boolean markClose(HttpHeaders headers) {
+            boolean isLast = closes || server.isStopping();
+            if (isLast) {
+                headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            }
+            return isLast;
+        }
+
+        private void finish(Object last, boolean isLast) {
+            if (writer != this) {
+                ReferenceCountUtil.release(last);
+                return;
+            }
+            context.writeAndFlush(last)
+                    .addListener(written -> context.executor().execute(() -> {
+                        if (writer == this) {
+                            onAnswered(context, isLast);
+                        }
+                    }));
+        }
+
+        @Override
+        public void abort() {
+            if (writer == this) {
+                writer = null;
+                exchange = null;
+                isClosing = true;
+                context.close();
+            }
+        }
+
+        @Override
+        public boolean isWritable() {
+            return context.channel().isWritable();
+        }
+    }
+}
