Exchange loads between gateways and place experts through rank agents

Cause: from the first shift of demand on, the most loaded rank had 3.4 times the mean, and gateways placed calls without knowing of each other's. Ruled out: reading counts from afar, which is priced and pauses the group; abandoning an armed change, since only completing it is safe against orders that are carried out late. Change: rank agents beside the engines, a planner with replicas bounded by copies a rank, a stateless policy for prepare, hold, arm and release, and a status exchange between gateways.

--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -14,7 +14,10 @@
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.FailureDomain;
 import org.jasminehub.core.serving.CallerLimits;
+import org.jasminehub.core.serving.EngineProfile;
+import org.jasminehub.core.serving.ExpertLayout;
 import org.jasminehub.core.serving.RouteTable;
+import org.jasminehub.core.serving.ServiceProfile;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.gateway.call.CallDispatcher;
 import org.jasminehub.gateway.call.CallEnded;
@@ -29,11 +32,15 @@
 import org.jasminehub.gateway.control.EndpointController;
 import org.jasminehub.gateway.control.FollowerSettings;
 import org.jasminehub.gateway.control.InstanceDirectory;
+import org.jasminehub.gateway.control.InstanceRegistration;
+import org.jasminehub.gateway.control.PeerExchange;
+import org.jasminehub.gateway.experts.ExpertCoordinator;
 import org.jasminehub.gateway.net.CallerHandler;
 import org.jasminehub.gateway.net.CallerServer;
 import org.jasminehub.gateway.net.EndpointAddress;
 import org.jasminehub.gateway.net.EndpointClient;
 import org.jasminehub.gateway.net.StoreConnection;
+import org.jasminehub.gateway.peer.PeerServer;
 import org.jasminehub.platform.hosted.StoreClient;
 import org.jasminehub.wire.generated.InstanceRecord;
 import org.jspecify.annotations.Nullable;
@@ -70,7 +77,10 @@
     private final EndpointClient client;
     private final ConfigurationController configuration;
     private final EndpointController endpoints;
+    private final InstanceRegistration registration;
     private final InstanceDirectory instances;
+    private final PeerExchange peers;
+    private final ExpertCoordinator experts;
     private final EndpointLoads loads;
     private final RepeatBudget budget;
     private final CallDispatcher dispatcher;
@@ -88,11 +98,26 @@
         this.timer = (delayMillis, action) -> loop.schedule(action, delayMillis, TimeUnit.MILLISECONDS);
         this.client = new EndpointClient(loop, clock);
         StoreClient store =
-                new StoreClient(new StoreConnection(loop, client, EndpointAddress.parse(settings.storeAddress())));
+                new StoreClient(new StoreConnection(client, EndpointAddress.parse(settings.storeAddress())));
         this.configuration = new ConfigurationController(store, CONFIGURATION_READS, timer, clock, events);
         this.endpoints = new EndpointController(store, ENDPOINT_READS, timer, clock, events);
-        this.instances = new InstanceDirectory(self(settings, clock), store, INSTANCE_READS, timer, clock, events);
+        this.registration = new InstanceRegistration(self(settings, clock), store, timer, events);
+        this.instances = new InstanceDirectory(registration, store, INSTANCE_READS, timer, clock, events);
         this.loads = new EndpointLoads(clock);
+        this.peers = new PeerExchange(
+                registration,
+                instances,
+                configuration,
+                endpoints,
+                loads,
+                () -> isReady,
+                settings.seeds().stream().map(EndpointAddress::parse).toList(),
+                loop,
+                timer,
+                clock,
+                events);
+        this.experts = new ExpertCoordinator(
+                loop, clock, timer, events, instances::rankAgents, this::expertLayout, peers::isFirst);
         RandomGenerator random = new SplittableRandom(settings.instance().hashCode() ^ clock.wallMillis());
         this.budget = new RepeatBudget(clock, settings.repeatRatio(), settings.repeatReserve(), (long)
                 (settings.repeatWindowSeconds() * TimeUnit.SECONDS.toMillis(1)));
@@ -127,14 +152,19 @@
         CallPipeline pipeline = new CallPipeline(
                 clock, this, new CallSettings((long) (settings.revocationMillis() * TRUSTED_SHARE)), dispatcher);
         callers = listen(settings.callerAddress(), pipeline);
-        DirectoryHandler directory = new DirectoryHandler(() -> isReady, instances::all, settings);
+        DirectoryHandler directory = new DirectoryHandler(() -> isReady, peers::acceptingInstances, settings);
         listen(settings.readinessAddress(), directory);
         listen(settings.directoryAddress(), directory);
+        PeerServer.start(loop, EndpointAddress.parse(settings.peerAddress()), peers);
         loop.execute(() -> {
             configuration.start(this::review);
             endpoints.start(this::onEndpointsChanged, gone -> client.forget(addressOf(gone.host(), gone.port())));
-            instances.start(
-                    () -> budget.setInstances(Math.max(1, instances.all().size())));
+            instances.start(() -> {
+                budget.setInstances(peers.maxInstances());
+                peers.onDirectoryChanged();
+            });
+            peers.start(dispatcher::drainLines);
+            experts.start();
             tick();
         });
         events.emit(new ControlEvent(
@@ -173,6 +203,16 @@
         return new EndpointAddress(host, port);
     }
 
+    private ExpertLayout expertLayout() {
+        return configuration.inForce().stream()
+                .flatMap(table -> table.services().values().stream())
+                .map(ServiceProfile::engine)
+                .filter(engine -> engine != null && engine.experts().isPlaceable())
+                .map(EngineProfile::experts)
+                .findFirst()
+                .orElse(ExpertLayout.NONE);
+    }
+
     private void onEndpointsChanged() {
         dispatcher.drainLines();
         review();
@@ -226,7 +266,8 @@
         loop.execute(() -> {
             isStopping = true;
             review();
-            instances.leave();
+            peers.announce();
+            registration.leave();
             CallerServer open = callers;
             if (open == null) {
                 sequence.finish();
--- a/gateway/src/main/java/org/jasminehub/gateway/Main.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/Main.java
@@ -77,6 +77,9 @@
 
     private int start(String role, Path path) {
         Clock clock = new SystemClock();
+        if (role.equals("rank-agent")) {
+            return startRankAgent(path, clock);
+        }
         if (!role.equals("entry")) {
             throw new ParameterException("no such role: " + role);
         }
@@ -93,6 +96,19 @@
         return EXIT_OK;
     }
 
+    private int startRankAgent(Path path, Clock clock) {
+        RankAgentSettings settings = new SettingsLoader().load(path, RankAgentSettings.class);
+        if (isCheck) {
+            return EXIT_OK;
+        }
+        EventSink events = new EventLog(settings.instance());
+        RankAgentProgram program = new RankAgentProgram(settings, clock, events);
+        program.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(program::stop, "stop"));
+        Signal.handle(new Signal("HUP"), signal -> {});
+        return EXIT_OK;
+    }
+
     private static void reload(Path path, GatewaySettings inForce, EventSink events) {
         String outcome;
         try {
--- /dev/null
+++ b/gateway/src/main/java/org/jasminehub/gateway/RankAgentProgram.java
@@ -0,0 +1,69 @@
+package org.jasminehub.gateway;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.concurrent.TimeUnit;
+import org.jasminehub.core.event.EventSink;
+import org.jasminehub.core.time.Clock;
+import org.jasminehub.gateway.control.ControlEvent;
+import org.jasminehub.gateway.control.ControlEventKind;
+import org.jasminehub.gateway.control.InstanceRegistration;
+import org.jasminehub.gateway.experts.RankAgent;
+import org.jasminehub.gateway.net.EndpointAddress;
+import org.jasminehub.gateway.net.EndpointClient;
+import org.jasminehub.gateway.net.StoreConnection;
+import org.jasminehub.gateway.net.WholeCaller;
+import org.jasminehub.gateway.peer.PeerServer;
+import org.jasminehub.platform.hosted.StoreClient;
+import org.jasminehub.wire.generated.InstanceRecord;
+
+/** The process beside a model engine: an agent that coordinators connect to. */
+final class RankAgentProgram {
+    private final RankAgentSettings settings;
+    private final EventLoop loop;
+    private final EventSink events;
+    private final InstanceRegistration registration;
+    private final RankAgent agent;
+
+    RankAgentProgram(RankAgentSettings settings, Clock clock, EventSink events) {
+        this.settings = settings;
+        this.events = events;
+        this.loop =
+                new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("agent"), NioIoHandler.newFactory()).next();
+        EndpointClient client = new EndpointClient(loop, clock);
+        StoreClient store =
+                new StoreClient(new StoreConnection(client, EndpointAddress.parse(settings.storeAddress())));
+        InstanceRecord self = InstanceRecord.newBuilder()
+                .setInstance(settings.instance())
+                .setHost(settings.host())
+                .setPeerPort(settings.agentPort())
+                .setFailureDomain(settings.failureDomain())
+                .setStartedWallMillis(clock.wallMillis())
+                .setIsRankAgent(true)
+                .build();
+        this.registration = new InstanceRegistration(
+                self,
+                store,
+                (delayMillis, action) -> loop.schedule(action, delayMillis, TimeUnit.MILLISECONDS),
+                events);
+        WholeCaller engine = new WholeCaller(client, EndpointAddress.parse(settings.engineAddress()), "engine");
+        this.agent = new RankAgent(loop, clock, engine, events);
+    }
+
+    void start() {
+        PeerServer.start(loop, new EndpointAddress(settings.host(), settings.agentPort()), agent);
+        loop.execute(() -> {
+            registration.register();
+            agent.start();
+        });
+        events.emit(new ControlEvent(
+                ControlEventKind.PROCESS_STARTED, settings.instance(), "beside " + settings.engineAddress(), 0));
+    }
+
+    void stop() {
+        // Its registration stays: it runs on every machine beside an engine, and comes back there.
+        events.emit(new ControlEvent(ControlEventKind.PROCESS_STOPPED, settings.instance(), "", 0));
+    }
+}
--- a/gateway/src/main/java/org/jasminehub/gateway/control/ConfigurationController.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/ConfigurationController.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.jasminehub.core.balance.BeliefAge;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.serving.RouteTable;
 import org.jasminehub.core.time.Clock;
@@ -18,6 +19,9 @@
  * <p>Used on the process's event loop only.
  */
 public final class ConfigurationController {
+    /** Knowledge older than this helps nobody, and its sum with other times must not overflow. */
+    private static final long MAX_PEER_AGE_MILLIS = 60_000;
+
     private final EventSink events;
     private final LogFollower follower;
     private @Nullable RouteTable inForce;
@@ -78,6 +82,20 @@
         apply(bytes);
     }
 
+    /**
+     * Notes that a peer with the same version knew it to be the newest one.
+     *
+     * @param asked when the question was sent that the peer answered
+     * @param peerAgeMillis how old the peer's own knowledge was when it answered
+     */
+    public void onPeerKnows(BeliefAge.Moment asked, long peerAgeMillis) {
+        if (peerAgeMillis >= 0 && peerAgeMillis < MAX_PEER_AGE_MILLIS) {
+            follower.age()
+                    .confirm(new BeliefAge.Moment(
+                            asked.monotonicMillis() - peerAgeMillis, asked.wallMillis() - peerAgeMillis));
+        }
+    }
+
     /** Stops following. */
     public void stop() {
         follower.stop();
--- a/gateway/src/main/java/org/jasminehub/gateway/control/InstanceDirectory.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/InstanceDirectory.java
@@ -13,38 +13,23 @@
 import org.jasminehub.platform.hosted.StoreTopic;
 import org.jasminehub.wire.generated.InstanceRecord;
 
-/**
- * Knows the entry instances of this system, and keeps this one registered.
- *
- * <p>Used on the process's event loop only.
- */
+/** Knows the processes of this system that are registered. Used on the process's event loop only. */
 public final class InstanceDirectory {
-    /** A registration is one small append; the store answers those within a few milliseconds when it is well. */
-    private static final long APPEND_TIMEOUT_MILLIS = 1_000;
-
-    private static final long APPEND_RETRY_MILLIS = 1_000;
-
-    private final InstanceRecord self;
-    private final StoreClient store;
-    private final DelayedRunner timer;
+    private final InstanceRegistration registration;
     private final EventSink events;
     private final LogFollower follower;
     private final Map<String, InstanceRecord> instances = new HashMap<>();
     private Runnable onChanged = () -> {};
-    private boolean isRegistered;
-    private boolean isLeaving;
 
-    /** Creates a directory in which {@code self} is not registered yet. */
+    /** Creates a directory that knows no process yet. */
     public InstanceDirectory(
-            InstanceRecord self,
+            InstanceRegistration registration,
             StoreClient store,
             FollowerSettings settings,
             DelayedRunner timer,
             Clock clock,
             EventSink events) {
-        this.self = self;
-        this.store = store;
-        this.timer = timer;
+        this.registration = registration;
         this.events = events;
         this.follower = new LogFollower(
                 store, StoreTopic.INSTANCES, settings, timer, clock, events, new LogFollower.Listener() {
@@ -61,49 +46,30 @@
                 });
     }
 
-    /** Registers this instance and follows the others; {@code changed} runs after each change. */
+    /** Registers this process and follows the others; {@code changed} runs after each change. */
     public void start(Runnable changed) {
         onChanged = changed;
-        register();
+        registration.register();
         follower.restart();
     }
 
-    /** Takes this instance's registration back. */
-    public void leave() {
-        isLeaving = true;
-        store.append(StoreTopic.INSTANCES, self.getInstance(), null, APPEND_TIMEOUT_MILLIS)
-                .whenComplete((done, failure) -> {
-                    if (failure != null) {
-                        events.emit(new ControlEvent(
-                                ControlEventKind.STORE_LOST,
-                                self.getInstance(),
-                                "the registration could not be taken back: " + failure.getMessage(),
-                                0));
-                    }
-                });
-    }
-
     /** Stops following. */
     public void stop() {
         follower.stop();
     }
 
-    /** Returns every instance that is registered, this one included once it is. */
-    public List<InstanceRecord> all() {
-        return List.copyOf(instances.values());
+    /** Returns the entry instances that are registered, this one included once it is. */
+    public List<InstanceRecord> entries() {
+        return instances.values().stream()
+                .filter(each -> !each.getIsRankAgent())
+                .toList();
     }
 
-    private void register() {
-        if (isLeaving) {
-            return;
-        }
-        store.append(StoreTopic.INSTANCES, self.getInstance(), self.toByteArray(), APPEND_TIMEOUT_MILLIS)
-                .whenComplete((done, failure) -> {
-                    isRegistered = failure == null;
-                    if (failure != null) {
-                        timer.runAfter(APPEND_RETRY_MILLIS, this::register);
-                    }
-                });
+    /** Returns the rank agents that are registered. */
+    public List<InstanceRecord> rankAgents() {
+        return instances.values().stream()
+                .filter(InstanceRecord::getIsRankAgent)
+                .toList();
     }
 
     private void takeSnapshot(List<KeyedRecord> records) {
@@ -113,8 +79,8 @@
             listed.add(record.key());
         });
         instances.keySet().retainAll(listed);
-        if (isRegistered && !listed.contains(self.getInstance())) {
-            register();
+        if (registration.isRegistered() && !listed.contains(registration.self().getInstance())) {
+            registration.register();
         }
         onChanged.run();
     }
@@ -130,7 +96,7 @@
         try {
             InstanceRecord read = InstanceRecord.parseFrom(value);
             if (!read.equals(instances.put(record.key(), read))) {
-                emit(record.key(), read.getHost() + ":" + read.getCallerPort() + " in " + read.getFailureDomain());
+                emit(record.key(), read.getHost() + " in " + read.getFailureDomain());
             }
         } catch (InvalidProtocolBufferException e) {
             events.emit(new ControlEvent(
--- a/gateway/src/main/java/org/jasminehub/gateway/control/LogFollower.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/LogFollower.java
@@ -129,10 +129,21 @@
         } else if (!slice.records().isEmpty()) {
             listener.onRecords(slice.records());
         }
-        age.confirm(asked);
+        age.confirm(asOf(asked, isSnapshot, slice));
         timer.runAfter(settings.pauseMillis(), () -> read(current));
     }
 
+    /** A read that waited in vain saw the log as it was at the end of its wait. */
+    private BeliefAge.Moment asOf(BeliefAge.Moment asked, boolean isSnapshot, LogSlice slice) {
+        boolean hasWaited = !isSnapshot
+                && slice.records().isEmpty()
+                && clock.monotonicMillis() - asked.monotonicMillis() >= settings.waitMillis();
+        return hasWaited
+                ? new BeliefAge.Moment(
+                        asked.monotonicMillis() + settings.waitMillis(), asked.wallMillis() + settings.waitMillis())
+                : asked;
+    }
+
     private void onFailure(int current, Throwable thrown) {
         Throwable cause =
                 thrown instanceof CompletionException && thrown.getCause() != null ? thrown.getCause() : thrown;
--- /dev/null
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/RankAgent.java
@@ -0,0 +1,245 @@
+package org.jasminehub.gateway.experts;
+
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.jasminehub.core.event.EventSink;
+import org.jasminehub.core.experts.placement.RankOrder;
+import org.jasminehub.core.experts.placement.RankView;
+import org.jasminehub.core.time.Clock;
+import org.jasminehub.gateway.net.WholeCaller;
+import org.jasminehub.gateway.peer.PeerConnection;
+import org.jasminehub.gateway.peer.PeerListener;
+import org.jasminehub.platform.hosted.EngineAdapter;
+import org.jasminehub.platform.hosted.EngineCall;
+import org.jasminehub.platform.hosted.EngineReport;
+import org.jasminehub.platform.hosted.RecordRejectedException;
+import org.jasminehub.wire.generated.LayerExperts;
+import org.jasminehub.wire.generated.PeerEnvelope;
+import org.jasminehub.wire.generated.RankOrderKind;
+import org.jasminehub.wire.generated.RankOrderReply;
+import org.jasminehub.wire.generated.RankOrderRequest;
+import org.jasminehub.wire.generated.RankStatus;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Sits beside one engine: tells coordinators what the engine reports, and passes their orders on to it.
+ *
+ * <p>It decides nothing and keeps nothing but what it last read. Used on its event loop only.
+ */
+public final class RankAgent implements PeerListener {
+    /** The engine is on the same machine and its report costs it nothing. */
+    private static final long REPORT_INTERVAL_MILLIS = 60;
+
+    /** Coordinators plan a few times a second; reading counts more often would only cost bytes. */
+    private static final long COUNTS_INTERVAL_MILLIS = 200;
+
+    /** A status is sent at least this often, so that a coordinator knows the agent alive. */
+    private static final long HEARTBEAT_MILLIS = 240;
+
+    /** The engine answers in a few milliseconds or loses the answer; the order is given again then. */
+    private static final long ORDER_TIMEOUT_MILLIS = 150;
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final WholeCaller engine;
+    private final EventSink events;
+    private final Map<PeerConnection, Boolean> watchers = new HashMap<>();
+    private RankStatus status = RankStatus.getDefaultInstance();
+    private RankStatus sent = status;
+    private long sentMillis;
+    private long countsMillis;
+    private boolean isUnreadable;
+    private boolean hasFreshCounts;
+    private String holdingsKey = "";
+
+    /** Creates an agent of the engine that {@code engine} calls. */
+    public RankAgent(EventLoop loop, Clock clock, WholeCaller engine, EventSink events) {
+        this.loop = loop;
+        this.clock = clock;
+        this.engine = engine;
+        this.events = events;
+    }
+
+    /** Starts to read the engine's reports. */
+    public void start() {
+        tick();
+    }
+
+    private void tick() {
+        if (!watchers.isEmpty()) {
+            refresh();
+        }
+        loop.schedule(this::tick, REPORT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private CompletableFuture<Void> refresh() {
+        return call(EngineAdapter.report())
+                .thenAccept(answer -> onReport(EngineAdapter.decodeReport(answer.body())))
+                .handle((done, failure) -> {
+                    noteReadable(failure);
+                    return null;
+                });
+    }
+
+    private void onReport(EngineReport report) {
+        RankView view = report.view();
+        RankStatus.Builder next = status.toBuilder()
+                .setGroup(report.group())
+                .setGroupSize(report.groupSize())
+                .setRank(view.rank())
+                .setStartedWallMillis(report.startedWallMillis())
+                .setEpoch(view.epoch())
+                .setIsOpen(view.isOpen())
+                .setStep(view.step())
+                .setMapVersion(view.mapVersion())
+                .setPreparedVersion(view.preparedVersion())
+                .setArmedVersion(view.armedVersion())
+                .setArmedStep(view.armedStep())
+                .setHeldStep(view.heldStep())
+                .setRunning(report.running())
+                .setWaiting(report.waiting())
+                .setPace(report.pace());
+        String key = view.epoch() + "/" + view.mapVersion() + "/" + report.startedWallMillis();
+        if (!key.equals(holdingsKey)) {
+            next.clearLayers();
+            readHoldings(key);
+        }
+        status = next.build();
+        if (watchers.containsValue(true) && nowMillis() - countsMillis >= COUNTS_INTERVAL_MILLIS) {
+            countsMillis = nowMillis();
+            readCounts();
+        }
+        push();
+    }
+
+    private void readHoldings(String key) {
+        call(EngineAdapter.holdings())
+                .thenAccept(answer -> {
+                    List<List<Integer>> layers = EngineAdapter.decodeHoldings(answer.body());
+                    if (EngineAdapter.decodeHoldingsVersion(answer.body()) != status.getMapVersion()) {
+                        return;
+                    }
+                    RankStatus.Builder next = status.toBuilder().clearLayers();
+                    layers.forEach(
+                            held -> next.addLayers(LayerExperts.newBuilder().addAllExperts(held)));
+                    status = next.build();
+                    holdingsKey = key;
+                    push();
+                })
+                .whenComplete((done, failure) -> noteReadable(failure));
+    }
+
+    private void readCounts() {
+        call(EngineAdapter.counts())
+                .thenAccept(answer -> {
+                    status = status.toBuilder()
+                            .clearExpertCounts()
+                            .addAllExpertCounts(EngineAdapter.decodeCounts(answer.body()))
+                            .build();
+                    hasFreshCounts = true;
+                    push();
+                })
+                .whenComplete((done, failure) -> noteReadable(failure));
+    }
+
+    private CompletableFuture<WholeCaller.Answer> call(EngineCall call) {
+        return engine.call(call.method(), call.uri(), EngineCall.CONTENT_TYPE, call.body(), ORDER_TIMEOUT_MILLIS)
+                .thenApply(answer -> {
+                    if (answer.body().length == 0) {
+                        throw new RecordRejectedException(call.uri(), "status " + answer.status(), "a body");
+                    }
+                    return answer;
+                });
+    }
+
+    private void noteReadable(@Nullable Throwable failure) {
+        boolean was = isUnreadable;
+        isUnreadable = failure != null;
+        if (failure != null && !was) {
+            events.emit(new ExpertEvent(
+                    ExpertEventKind.ENGINE_UNREADABLE,
+                    status.getGroup(),
+                    status.getEpoch(),
+                    0,
+                    String.valueOf(failure.getMessage())));
+        }
+    }
+
+    /** Sends what is new to the watchers: counts only when they were read again, the rest when it changed. */
+    private void push() {
+        RankStatus plain = status.toBuilder().clearExpertCounts().build();
+        boolean isSame = plain.toBuilder()
+                .clearStep()
+                .build()
+                .equals(sent.toBuilder().clearStep().build());
+        if (isSame && !hasFreshCounts && nowMillis() - sentMillis < HEARTBEAT_MILLIS) {
+            return;
+        }
+        sentMillis = nowMillis();
+        sent = plain;
+        PeerEnvelope withCounts = PeerEnvelope.newBuilder()
+                .setRankStatus(hasFreshCounts ? status : plain)
+                .build();
+        PeerEnvelope withoutCounts =
+                PeerEnvelope.newBuilder().setRankStatus(plain).build();
+        hasFreshCounts = false;
+        watchers.forEach((watcher, wantsCounts) -> watcher.send(wantsCounts ? withCounts : withoutCounts));
+    }
+
+    @Override
+    public void onConnected(PeerConnection connection) {
+        // It becomes a watcher with its first message.
+    }
+
+    @Override
+    public void onMessage(PeerConnection connection, PeerEnvelope message) {
+        if (message.hasRankWatch()) {
+            boolean isNew = watchers.put(connection, message.getRankWatch().getWithCounts()) == null;
+            if (isNew) {
+                sent = RankStatus.getDefaultInstance();
+                refresh();
+            }
+        } else if (message.hasRankOrderRequest()) {
+            onOrder(connection, message.getRankOrderRequest());
+        }
+    }
+
+    @Override
+    public void onClosed(PeerConnection connection) {
+        watchers.remove(connection);
+    }
+
+    private void onOrder(PeerConnection connection, RankOrderRequest request) {
+        if (request.getKind() == RankOrderKind.RANK_HOLD) {
+            // The step to hold is counted from the present one, which only a report of this moment tells.
+            refresh().thenRun(() -> give(connection, request, status.getStep() + request.getStep()));
+        } else {
+            give(connection, request, request.getStep());
+        }
+    }
+
+    private void give(PeerConnection connection, RankOrderRequest request, long step) {
+        RankOrder order =
+                new RankOrder(status.getRank(), RankOrders.kindOf(request.getKind()), request.getVersion(), step);
+        EngineCall call = EngineAdapter.order(order, request.getEpoch(), RankOrders.mapOf(request));
+        engine.call(call.method(), call.uri(), EngineCall.CONTENT_TYPE, call.body(), ORDER_TIMEOUT_MILLIS)
+                .handle((answer, failure) -> failure == null ? answer.status() : 0)
+                .thenAccept(code -> refresh().thenRun(() -> {
+                    sent = RankStatus.getDefaultInstance();
+                    push();
+                    connection.send(PeerEnvelope.newBuilder()
+                            .setRankOrderReply(RankOrderReply.newBuilder()
+                                    .setOrderId(request.getOrderId())
+                                    .setStatus(code))
+                            .build());
+                }));
+    }
+
+    private long nowMillis() {
+        return clock.monotonicMillis();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/RankSeat.java
@@ -0,0 +1,95 @@
+package org.jasminehub.gateway.experts;
+
+import org.jasminehub.core.experts.placement.RankOrder;
+import org.jasminehub.gateway.peer.PeerConnection;
+import org.jasminehub.wire.generated.PeerEnvelope;
+import org.jasminehub.wire.generated.RankStatus;
+import org.jspecify.annotations.Nullable;
+
+/** One rank as its agent shows it, and the order that it has been given. */
+final class RankSeat {
+    private final int rank;
+    private final ExpertCounts counts = new ExpertCounts();
+    private @Nullable PeerConnection connection;
+    private RankStatus status = RankStatus.getDefaultInstance();
+    private long heardMillis;
+    private @Nullable RankOrder open;
+    private long openId;
+    private long openMillis;
+    private long prepareTaken;
+
+    RankSeat(int rank) {
+        this.rank = rank;
+    }
+
+    int rank() {
+        return rank;
+    }
+
+    RankStatus status() {
+        return status;
+    }
+
+    long heardMillis() {
+        return heardMillis;
+    }
+
+    ExpertCounts counts() {
+        return counts;
+    }
+
+    boolean isServedBy(PeerConnection other) {
+        return connection == other;
+    }
+
+    void onStatus(PeerConnection from, RankStatus next, long nowMillis) {
+        boolean isAnew =
+                next.getEpoch() != status.getEpoch() || next.getStartedWallMillis() != status.getStartedWallMillis();
+        if (isAnew) {
+            prepareTaken = 0;
+            counts.clear();
+        }
+        connection = from;
+        heardMillis = nowMillis;
+        status = next;
+        if (next.getExpertCountsCount() > 0) {
+            counts.add(nowMillis, next.getExpertCountsList());
+        }
+    }
+
+    void onPrepareTaken(long version) {
+        prepareTaken = Math.max(prepareTaken, version);
+    }
+
+    /** Returns the newest version whose copy the rank has begun, as far as known here. */
+    long newestPrepared() {
+        return prepareTaken;
+    }
+
+    /** Returns whether {@code order} shall be given now: not while one is open, and a copy is not begun twice. */
+    boolean mayOrder(RankOrder order, long nowMillis, long retryMillis) {
+        boolean isCopying = order.kind() == RankOrder.Kind.PREPARE && prepareTaken == order.version();
+        boolean isOpen = open != null && nowMillis - openMillis < retryMillis;
+        return connection != null && !isCopying && !isOpen;
+    }
+
+    void send(RankOrder order, long id, long nowMillis, PeerEnvelope message) {
+        open = order;
+        openId = id;
+        openMillis = nowMillis;
+        if (connection != null) {
+            connection.send(message);
+        }
+    }
+
+    /** Returns the open order if {@code id} is its, and closes it; null otherwise. */
+    @Nullable
+    RankOrder takeOrder(PeerConnection from, long id) {
+        if (connection != from || openId != id || open == null) {
+            return null;
+        }
+        RankOrder order = open;
+        open = null;
+        return order;
+    }
+}
