--- /dev/null
+++ b/core/src/test/java/org/jasminehub/core/experts/placement/MapChangePolicyTest.java
@@ -0,0 +1,179 @@
+package org.jasminehub.core.experts.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** The orders of a change of map, one by one and under every kind of trouble at once. */
+final class MapChangePolicyTest {
+    private static final int SIZE = 4;
+    private static final long MARGIN = 2;
+
+    private static RankView view(int rank, long map, long prepared, long armed, long armedStep, long held) {
+        return new RankView(rank, 1, true, 10, map, prepared, armed, armedStep, held);
+    }
+
+    private static List<RankOrder> next(long wanted, RankView... views) {
+        return MapChangePolicy.nextOrders(List.of(views), wanted, MARGIN);
+    }
+
+    /** What follows from what ranks say. */
+    @Nested
+    final class OneDecision {
+        @Test
+        void testRanksWithoutTheMapPrepareIt() {
+            List<RankOrder> orders = next(7, view(0, 0, 7, 0, 0, 0), view(1, 0, 0, 0, 0, 0));
+
+            assertEquals(List.of(new RankOrder(1, RankOrder.Kind.PREPARE, 7, 0)), orders);
+        }
+
+        @Test
+        void testAStepIsHeldBeforeAnyRankArms() {
+            List<RankOrder> orders = next(7, view(0, 0, 7, 0, 0, 0), view(1, 0, 7, 0, 0, 0));
+
+            assertEquals(List.of(new RankOrder(0, RankOrder.Kind.HOLD, 0, MARGIN)), orders);
+        }
+
+        @Test
+        void testAllRanksArmForTheHeldStep() {
+            List<RankOrder> orders = next(7, view(0, 0, 7, 0, 0, 12), view(1, 0, 7, 0, 0, 0));
+
+            assertEquals(
+                    List.of(new RankOrder(0, RankOrder.Kind.ARM, 7, 12), new RankOrder(1, RankOrder.Kind.ARM, 7, 12)),
+                    orders);
+        }
+
+        @Test
+        void testTheStepStaysHeldWhileARankIsNotArmed() {
+            List<RankOrder> orders = next(7, view(0, 0, 7, 7, 12, 12), view(1, 0, 7, 0, 0, 0));
+
+            assertEquals(List.of(new RankOrder(1, RankOrder.Kind.ARM, 7, 12)), orders);
+        }
+
+        @Test
+        void testTheStepIsReleasedOnceAllRanksAreArmed() {
+            List<RankOrder> orders = next(7, view(0, 0, 7, 7, 12, 12), view(1, 0, 7, 7, 12, 0));
+
+            assertEquals(List.of(new RankOrder(0, RankOrder.Kind.RELEASE, 0, 12)), orders);
+        }
+
+        @Test
+        void testAnArmedMapIsTakenBackOnlyOnceANewerOneIsPrepared() {
+            assertEquals(List.of(), next(0, view(0, 0, 7, 7, 12, 12), view(1, 0, 0, 0, 0, 0)));
+            assertEquals(
+                    List.of(new RankOrder(0, RankOrder.Kind.DISARM, 7, 0)),
+                    next(0, view(0, 0, 7, 7, 12, 12), view(1, 0, 8, 0, 0, 0)));
+        }
+
+        @Test
+        void testNothingIsOrderedAcrossEpochs() {
+            RankView other = new RankView(1, 2, true, 10, 0, 7, 0, 0, 0);
+
+            assertEquals(List.of(), next(7, view(0, 0, 7, 0, 0, 0), other));
+        }
+    }
+
+    /** A coordinator that acts on views that may be old, and may stop at any moment. */
+    private static final class Coordinator {
+        private final SimulatedGroup group;
+        private final Random random;
+        private final int number;
+        private List<RankView> seen = List.of();
+        private long wanted;
+        private long epoch;
+
+        Coordinator(SimulatedGroup group, Random random, int number) {
+            this.group = group;
+            this.random = random;
+            this.number = number;
+        }
+
+        void look() {
+            List<RankView> now = group.views();
+            List<RankView> next = new ArrayList<>();
+            for (int rank = 0; rank < now.size(); rank++) {
+                // Each rank's word may be as old as the last look.
+                boolean isOld = !seen.isEmpty() && random.nextInt(4) == 0;
+                next.add(isOld ? seen.get(rank) : now.get(rank));
+            }
+            seen = next;
+        }
+
+        void act(double lossShare, boolean wantsChange) {
+            if (seen.isEmpty()) {
+                return;
+            }
+            long inUse = seen.get(0).mapVersion();
+            if (epoch != seen.get(0).epoch() || wanted <= inUse || wanted < group.newestVersion()) {
+                wanted = 0;
+            }
+            if (wanted == 0 && (wantsChange || MapChangePolicy.needsChange(seen))) {
+                epoch = seen.get(0).epoch();
+                wanted = (group.newestVersion() / 8 + 1) * 8 + number;
+            }
+            for (RankOrder order : MapChangePolicy.nextOrders(seen, wanted, MARGIN)) {
+                RankOrder absolute = order.kind() == RankOrder.Kind.HOLD
+                        ? new RankOrder(
+                                order.rank(), order.kind(), 0, seen.get(0).step() + order.step())
+                        : order;
+                group.give(absolute, seen.get(0).epoch(), lossShare);
+            }
+        }
+    }
+
+    /** Lost, late and repeated orders, old views, two coordinators at once and new epochs. */
+    @Nested
+    final class UnderTrouble {
+        @Test
+        void testNoStepBeginsOnTwoMapsAndChangesStillHappen() {
+            long changes = 0;
+            for (int seed = 0; seed < 400; seed++) {
+                changes += play(seed);
+            }
+            assertTrue(changes > 1_000, "changes in all runs: " + changes);
+        }
+
+        private int play(int seed) {
+            Random random = new Random(seed);
+            SimulatedGroup group = new SimulatedGroup(SIZE, random);
+            List<Coordinator> coordinators =
+                    List.of(new Coordinator(group, random, 1), new Coordinator(group, random, 2));
+            int changes = 0;
+            long map = 0;
+            for (int tick = 0; tick < 1_500; tick++) {
+                group.tick();
+                if (group.mapInUse() != map) {
+                    map = group.mapInUse();
+                    changes++;
+                }
+                if (random.nextInt(500) == 0) {
+                    group.form();
+                }
+                // The second one wakes up only at times, with whatever it saw last.
+                int active = random.nextInt(20) == 0 ? 1 : 0;
+                if (random.nextInt(3) > 0) {
+                    coordinators.get(active).look();
+                }
+                coordinators.get(active).act(0.35, random.nextInt(10) == 0);
+            }
+            settle(group, coordinators.get(0), seed);
+            return changes;
+        }
+
+        /** Once trouble is over, nothing stays held. */
+        private void settle(SimulatedGroup group, Coordinator coordinator, int seed) {
+            for (int tick = 0; tick < 400; tick++) {
+                group.tick();
+                coordinator.look();
+                coordinator.act(0, false);
+            }
+            assertFalse(group.isHeld(), "a step is still held, seed " + seed);
+        }
+    }
+}
--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -12,6 +12,7 @@
 import org.jasminehub.core.balance.EndpointLoads;
 import org.jasminehub.core.balance.RepeatBudget;
 import org.jasminehub.core.event.EventSink;
+import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.identity.FailureDomain;
 import org.jasminehub.core.serving.CallerLimits;
 import org.jasminehub.core.serving.EngineProfile;
@@ -171,6 +172,26 @@
                 ControlEventKind.PROCESS_STARTED, settings.instance(), "listens at " + settings.callerAddress(), 0));
     }
 
+    /** Returns the client that reaches endpoints. */
+    EndpointClient client() {
+        return client;
+    }
+
+    /** Returns the port that callers connect to, 0 before the start. */
+    int callerPort() {
+        return callers == null ? 0 : callers.port();
+    }
+
+    /** Returns whether the endpoint named {@code id} is known in that state; safe on any thread. */
+    boolean knowsEndpoint(String id, boolean isDraining) {
+        return loop.submit(() -> endpoints
+                        .find(new EndpointId(id))
+                        .map(endpoint -> endpoint.isDraining() == isDraining)
+                        .orElse(false))
+                .awaitUninterruptibly()
+                .getNow();
+    }
+
     private CallerServer listen(String address, CallerHandler handler) {
         return CallerServer.start(
                 loop,
--- a/gateway/src/main/java/org/jasminehub/gateway/Main.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/Main.java
@@ -36,6 +36,12 @@
     @Parameter(names = "--check", description = "reads the settings, says whether they can be used, and ends")
     private boolean isCheck;
 
+    @Parameter(
+            names = "--rehearse",
+            description = "runs for a moment on loopback and ends; the build archives the classes that this loads",
+            hidden = true)
+    private boolean isRehearsal;
+
     @Parameter(names = "--help", help = true, description = "shows this help")
     private boolean help;
 
@@ -62,6 +68,10 @@
                 parser.usage();
                 return EXIT_OK;
             }
+            if (isRehearsal) {
+                Rehearsal.run(new SystemClock());
+                System.exit(EXIT_OK);
+            }
             if (roles.size() != 1 || settingsPath == null) {
                 throw new ParameterException("one role and a settings file are needed");
             }
--- a/gateway/src/main/java/org/jasminehub/gateway/RankAgentSettings.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/RankAgentSettings.java
@@ -19,6 +19,6 @@
         Checks.notBlank("instance", instance);
         Checks.notBlank("failureDomain", failureDomain);
         Checks.notBlank("host", host);
-        Checks.inRange("agentPort", agentPort, 1, 65_535);
+        Checks.inRange("agentPort", agentPort, 0, 65_535);
     }
 }
--- /dev/null
+++ b/gateway/src/main/java/org/jasminehub/gateway/Rehearsal.java
@@ -0,0 +1,77 @@
+package org.jasminehub.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.jasminehub.core.event.EventSink;
+import org.jasminehub.core.experts.placement.PlacementLimits;
+import org.jasminehub.core.experts.placement.PlacementPlanner;
+import org.jasminehub.core.experts.placement.ReplicaMap;
+import org.jasminehub.core.time.Clock;
+import org.jasminehub.gateway.net.EndpointAddress;
+import org.jasminehub.gateway.net.EndpointClient;
+import org.jasminehub.gateway.net.WholeCaller;
+import org.jasminehub.platform.hosted.RouteTableAdapter;
+import org.jasminehub.runtime.log.EventLog;
+
+/**
+ * Runs both programs for a moment on loopback, so that the build can archive the classes that a start needs; a process
+ * that starts from the archive listens in about half the time.
+ */
+final class Rehearsal {
+    private static final String LOOPBACK = "127.0.0.1:0";
+    private static final long CALL_TIMEOUT_MILLIS = 2_000;
+    private static final int CALLS = 5;
+    private static final String CONFIGURATION = """
+            {"version":1,"routes":[{"name":"r","host":"h.example","path_prefix":"/a/","kind":"safe","timeout_ms":100,
+            "target_latency_ms":50,"priority":1,"service":"s","attempts":2,"public":true}],
+            "services":[{"name":"s","health_path":"/","connection_limit":4}],
+            "tenants":[{"name":"t","api_keys":["k"],"priority":1}],
+            "limits":{"header_bytes":1000,"body_bytes":1000,"header_timeout_ms":1000,"idle_timeout_ms":1000}}
+            """;
+
+    private Rehearsal() {}
+
+    /** Runs, and returns when enough classes are loaded. */
+    static void run(Clock clock) {
+        EventSink events = new EventLog("rehearsal");
+        GatewaySettings settings = new GatewaySettings(
+                "rehearsal",
+                "here",
+                LOOPBACK,
+                LOOPBACK,
+                LOOPBACK,
+                LOOPBACK,
+                0,
+                1,
+                List.of(),
+                "127.0.0.1:1",
+                5_000,
+                1,
+                1,
+                0.2,
+                10,
+                10);
+        EntryProgram entry = new EntryProgram(settings, clock, events);
+        entry.start();
+        RouteTableAdapter.decode(CONFIGURATION.getBytes(StandardCharsets.UTF_8));
+        ReplicaMap map = new ReplicaMap(2, new int[][][] {{{0}, {1}}});
+        PlacementPlanner.plan(map, new double[][] {{3, 1}}, new PlacementLimits(2, 1, 1, 0));
+        EndpointClient client = entry.client();
+        WholeCaller caller = new WholeCaller(client, new EndpointAddress("127.0.0.1", entry.callerPort()), "rehearsal");
+        for (int call = 0; call < CALLS; call++) {
+            CompletableFuture<Void> answered = new CompletableFuture<>();
+            client.loop()
+                    .execute(() -> caller.call("GET", "/a/b", "", new byte[0], CALL_TIMEOUT_MILLIS)
+                            .whenComplete((answer, failure) -> answered.complete(null)));
+            answered.orTimeout(CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).join();
+        }
+        new RankAgentProgram(
+                        new RankAgentSettings("rehearsal-agent", "here", "127.0.0.1", 0, "127.0.0.1:1", "127.0.0.1:1"),
+                        clock,
+                        events)
+                .start();
+        entry.stop();
+    }
+}
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/GroupPlacement.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/GroupPlacement.java
@@ -66,6 +66,7 @@
     private long wantedEpoch;
     private long baseVersion;
     private long mapInUse = -1;
+    private long lastPlanned = -1;
 
     GroupPlacement(String name, Clock clock, EventSink events, Supplier<ExpertLayout> layout) {
         this.name = name;
@@ -142,7 +143,7 @@
                     name,
                     epoch,
                     version,
-                    version == wantedVersion
+                    version == lastPlanned
                             ? "after " + (clock.monotonicMillis() - wantedMillis) + " ms"
                             : "not planned here"));
         }
@@ -242,6 +243,7 @@
                         .orElse(0));
         long random = ThreadLocalRandom.current().nextLong(1L << RANDOM_BITS);
         wantedVersion = ((newest >> RANDOM_BITS) + 1 << RANDOM_BITS) + random;
+        lastPlanned = wantedVersion;
         wantedMap = map;
         wantedMillis = clock.monotonicMillis();
         wantedEpoch = epoch;
--- a/gateway/src/main/java/org/jasminehub/gateway/net/EndpointAddress.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/EndpointAddress.java
@@ -2,12 +2,12 @@
 
 import org.jasminehub.core.internal.Checks;
 
-/** An IP address and a port. */
+/** An IP address and a port; to listen, port 0 stands for a free one. */
 public record EndpointAddress(String host, int port) {
     /** Creates an address. */
     public EndpointAddress {
         Checks.notBlank("host", host);
-        Checks.inRange("port", port, 1, 65_535);
+        Checks.inRange("port", port, 0, 65_535);
     }
 
     /** Returns the address that {@code text} states as IP:PORT. */
--- /dev/null
+++ b/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
@@ -0,0 +1,169 @@
+package org.jasminehub.gateway;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import org.jasminehub.core.event.Event;
+import org.jasminehub.core.time.Clock;
+import org.jasminehub.runtime.time.SystemClock;
+
+/** A real entry instance on loopback, before a store and endpoints in memory. */
+final class GatewayHarness implements AutoCloseable {
+    /** Far above what any step takes; a test that needs it has failed. */
+    static final Duration PATIENCE = Duration.ofSeconds(20);
+
+    /** Short, since no caller is left when a test ends. */
+    private static final double GRACE_SECONDS = 0.45;
+
+    private static final String CONFIGURATION = """
+            {"version":%d,"routes":[
+            {"name":"safe","host":"h.example","path_prefix":"/safe/","kind":"safe","timeout_ms":4000,
+             "target_latency_ms":1000,"priority":1,"service":"plain","attempts":2,"public":false},
+            {"name":"unsafe","host":"h.example","path_prefix":"/unsafe/","kind":"unsafe","timeout_ms":4000,
+             "target_latency_ms":1000,"priority":1,"service":"plain","attempts":2,"public":false},
+            {"name":"stream","host":"h.example","path_prefix":"/stream/","kind":"streaming","timeout_ms":8000,
+             "target_latency_ms":1000,"priority":1,"service":"plain","attempts":2,"public":false,
+             "resume_streams":true,"gap_aim_ms":120}],
+            "services":[{"name":"plain","health_path":"/health","connection_limit":100}],
+            "tenants":[{"name":"team-a","api_keys":["%s"],"priority":1}],
+            "limits":{"header_bytes":4096,"body_bytes":10000,"header_timeout_ms":5000,"idle_timeout_ms":15000}}
+            """;
+
+    /** The machine's clock, whose wall time a test may move. */
+    static final class ShiftableClock implements Clock {
+        private final Clock machine = new SystemClock();
+        private final AtomicLong wallShiftMillis = new AtomicLong();
+
+        void shiftWallMillis(long millis) {
+            wallShiftMillis.addAndGet(millis);
+        }
+
+        @Override
+        public long monotonicMillis() {
+            return machine.monotonicMillis();
+        }
+
+        @Override
+        public long wallMillis() {
+            return machine.wallMillis() + wallShiftMillis.get();
+        }
+    }
+
+    private final EventLoop storeLoop;
+    private final StoreStandin store;
+    private final ShiftableClock clock = new ShiftableClock();
+    private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+    private final EntryProgram entry;
+
+    GatewayHarness() {
+        storeLoop = new MultiThreadIoEventLoopGroup(
+                        1, new DefaultThreadFactory("store", true), NioIoHandler.newFactory())
+                .next();
+        store = new StoreStandin(storeLoop);
+        String any = "127.0.0.1:0";
+        GatewaySettings settings = new GatewaySettings(
+                "entry-1",
+                "a",
+                any,
+                any,
+                any,
+                any,
+                0,
+                1,
+                List.of(),
+                store.address(),
+                5_000,
+                GRACE_SECONDS,
+                5,
+                0.2,
+                60,
+                10);
+        entry = new EntryProgram(settings, clock, events::add);
+        entry.start();
+    }
+
+    StoreStandin store() {
+        return store;
+    }
+
+    ShiftableClock clock() {
+        return clock;
+    }
+
+    EntryProgram entry() {
+        return entry;
+    }
+
+    /** Publishes a configuration whose only key is {@code key}, and waits until it is in force. */
+    void configure(long version, String key) {
+        store.put("keyed.op", "config", CONFIGURATION.formatted(version, key));
+        await(() -> entry.inForce().map(table -> table.version()).orElse(0L) >= version);
+    }
+
+    /** Registers an endpoint and waits until it takes calls. */
+    void register(String id, int port, String state) {
+        store.put(
+                "keyed.servers",
+                id,
+                "{\"service\":\"plain\",\"address\":\"127.0.0.1:" + port + "\",\"zone\":\"a\",\"slots\":4,\"state\":\""
+                        + state + "\",\"born\":1,\"sequence\":1}");
+        await(() -> entry.knowsEndpoint(id, state.equals("draining")));
+    }
+
+    /** Waits for a condition that another thread brings about. */
+    static void await(BooleanSupplier condition) {
+        long endNanos = System.nanoTime() + PATIENCE.toNanos();
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > endNanos) {
+                throw new AssertionError("waited in vain");
+            }
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(5));
+        }
+    }
+
+    Socket connect() throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), entry.callerPort());
+        socket.setSoTimeout((int) PATIENCE.toMillis());
+        return socket;
+    }
+
+    static String request(String method, String path, String id, String key, String body) {
+        return method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + id
+                + "\r\nX-Deadline-Milliseconds: 4000\r\nAuthorization: Bearer " + key
+                + (body.isEmpty() ? "" : "\r\nContent-Length: " + body.length()) + "\r\n\r\n" + body;
+    }
+
+    /** Sends one request on a connection of its own and returns all that comes back until the connection ends. */
+    String exchange(String request) throws IOException {
+        try (Socket socket = connect()) {
+            String closing = request.replaceFirst("\r\n", "\r\nConnection: close\r\n");
+            socket.getOutputStream().write(closing.getBytes(StandardCharsets.UTF_8));
+            return readAll(socket.getInputStream());
+        }
+    }
+
+    static String readAll(InputStream in) throws IOException {
+        return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public void close() {
+        entry.stop();
+        store.close();
+        storeLoop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/jasminehub/gateway/StoreStandin.java
@@ -0,0 +1,147 @@
+package org.jasminehub.gateway;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.jasminehub.core.serving.CallerLimits;
+import org.jasminehub.gateway.net.CallerAnswer;
+import org.jasminehub.gateway.net.CallerExchange;
+import org.jasminehub.gateway.net.CallerRequest;
+import org.jasminehub.gateway.net.CallerServer;
+import org.jasminehub.gateway.net.EndpointAddress;
+
+/** The platform's store in memory: keyed logs, served over HTTP on loopback. */
+final class StoreStandin {
+    private record Entry(String key, byte[] value) {}
+
+    private static final CallerExchange NOTHING_OPEN = new CallerExchange() {
+        @Override
+        public void onCallerGone() {}
+
+        @Override
+        public void onWritabilityChanged(boolean isWritable) {}
+    };
+
+    private final EventLoop loop;
+    private final CallerServer server;
+    private final Map<String, List<Entry>> topics = new LinkedHashMap<>();
+    private boolean isDown;
+
+    StoreStandin(EventLoop loop) {
+        this.loop = loop;
+        this.server = CallerServer.start(
+                loop,
+                new EndpointAddress("127.0.0.1", 0),
+                () -> CallerLimits.DEFAULT,
+                this::handle,
+                (status, reason) -> {});
+    }
+
+    String address() {
+        return "127.0.0.1:" + server.port();
+    }
+
+    synchronized void put(String topic, String key, String value) {
+        topics.computeIfAbsent(topic, name -> new ArrayList<>())
+                .add(new Entry(key, value.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    /** From now on every call is refused, or none. */
+    synchronized void setDown(boolean down) {
+        isDown = down;
+    }
+
+    void close() {
+        server.close();
+    }
+
+    private synchronized CallerExchange handle(CallerRequest request, CallerAnswer answer) {
+        if (isDown) {
+            respond(answer, HttpResponseStatus.SERVICE_UNAVAILABLE, new byte[0]);
+            return NOTHING_OPEN;
+        }
+        QueryStringDecoder query = new QueryStringDecoder(request.uri());
+        String topic = query.parameters().get("topic").get(0);
+        List<Entry> log = topics.computeIfAbsent(topic, name -> new ArrayList<>());
+        if (query.path().equals("/log-newest")) {
+            respond(answer, HttpResponseStatus.OK, newest(log));
+        } else if (HttpMethod.POST.equals(request.method())) {
+            append(log, request.body());
+            respond(answer, HttpResponseStatus.OK, "{\"offset\":0,\"end\":1}".getBytes(StandardCharsets.UTF_8));
+        } else {
+            long wait = query.parameters().containsKey("wait_ms")
+                    ? Long.parseLong(query.parameters().get("wait_ms").get(0))
+                    : 0;
+            read(log, Integer.parseInt(query.parameters().get("from").get(0)), wait, answer);
+        }
+        return NOTHING_OPEN;
+    }
+
+    private synchronized void read(List<Entry> log, int from, long waitMillis, CallerAnswer answer) {
+        long step = 10;
+        if (isDown) {
+            answer.abort();
+        } else if (log.size() <= from && waitMillis > 0) {
+            loop.schedule(() -> read(log, from, waitMillis - step, answer), step, TimeUnit.MILLISECONDS);
+        } else {
+            respond(answer, HttpResponseStatus.OK, slice(log, from));
+        }
+    }
+
+    private static byte[] newest(List<Entry> log) {
+        Map<String, String> items = new LinkedHashMap<>();
+        for (Entry entry : log) {
+            items.remove(entry.key());
+            if (entry.value().length > 0) {
+                items.put(
+                        entry.key(),
+                        "{\"key\":\"" + entry.key() + "\",\"value\":\""
+                                + Base64.getEncoder().encodeToString(entry.value()) + "\",\"offset\":0}");
+            }
+        }
+        String page =
+                "{\"items\":[" + String.join(",", items.values()) + "],\"has_more\":false,\"end\":" + log.size() + "}";
+        return page.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static byte[] slice(List<Entry> log, int from) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        out.writeBytes(ByteBuffer.allocate(16).putLong(log.size()).putLong(0).array());
+        for (Entry entry : log.subList(Math.min(from, log.size()), log.size())) {
+            byte[] key = entry.key().getBytes(StandardCharsets.UTF_8);
+            int length = 1 + key.length + entry.value().length;
+            out.writeBytes(ByteBuffer.allocate(4 + length)
+                    .putInt(length)
+                    .put((byte) key.length)
+                    .put(key)
+                    .put(entry.value())
+                    .array());
+        }
+        return out.toByteArray();
+    }
+
+    private static void append(List<Entry> log, byte[] body) {
+        ByteBuffer buffer = ByteBuffer.wrap(body);
+        int length = buffer.getInt();
+        byte[] key = new byte[buffer.get()];
+        buffer.get(key);
+        byte[] value = new byte[length - 1 - key.length];
+        buffer.get(value);
+        log.add(new Entry(new String(key, StandardCharsets.UTF_8), value));
+    }
+
+    private static void respond(CallerAnswer answer, HttpResponseStatus status, byte[] body) {
+        answer.whole(status, new DefaultHttpHeaders(false), body);
+    }
+}
