A handover given back does not bring back the quarantine it ended

Cause: after a planned stop both homes ask each other for a handover. The remaining home gives one before it has taken the old home's, and so lists the old home's keys as open; the old home takes that list in and passes it on in its next handover, which replaces the good one. Ruled out: an expired lease (it was confirmed 300 ms before), an incomplete history (both had learnt epoch 1). Change: an agent passes on and heeds no quarantine about itself, nor about a home that has handed over to it since.

--- a/core/src/main/java/org/jasminehub/core/experts/placement/LayerLoad.java
+++ b/core/src/main/java/org/jasminehub/core/experts/placement/LayerLoad.java
@@ -7,6 +7,9 @@
     /** Stands for the rank or expert that a change does not touch. */
     static final int NONE = -1;
 
+    /** High enough that the most loaded ranks decide, and a power that three squarings give. */
+    private static final double SMOOTH_POWER = 8;
+
     private final double[] expertLoad;
     private final boolean[][] holds;
     private final int[] replicas;
@@ -68,13 +71,13 @@
     }
 
     /**
-     * Returns the sum of the ranks' loads, each to a high power: it falls when the most loaded ranks are relieved, also
-     * when two of them are equal and the maximum alone would not move.
+     * Returns a smooth form of {@link #skew}: it falls whenever one of the most loaded ranks is relieved, also where two
+     * of them are equal and the maximum alone would not move.
      */
-    double unevenness() {
+    double smoothSkew() {
         double total = Arrays.stream(rankLoad).sum();
         if (total <= 0) {
-            return 0;
+            return 1;
         }
         double sum = 0;
         for (double load : rankLoad) {
@@ -83,7 +86,7 @@
             double fourth = square * square;
             sum += fourth * fourth;
         }
-        return sum;
+        return Math.pow(sum / rankLoad.length, 1.0 / SMOOTH_POWER);
     }
 
     /** Adds {@code expert} to {@code rank}. */
--- a/core/src/main/java/org/jasminehub/core/experts/placement/PlacementLimits.java
+++ b/core/src/main/java/org/jasminehub/core/experts/placement/PlacementLimits.java
@@ -8,7 +8,7 @@
  * @param placesPerRank experts that a rank can hold in a layer
  * @param newPerLayer experts that may be new to a rank in a layer
  * @param copiesPerRank experts that may be new to a rank over all layers; they are copied one after the other
- * @param minGainPerCopy by how much the skew must fall for each copy, averaged over layers
+ * @param minGainPerCopy by how much each copy must bring the smooth skew down, averaged over layers
  */
 public record PlacementLimits(int placesPerRank, int newPerLayer, int copiesPerRank, double minGainPerCopy) {
     /** Creates limits. */
--- a/core/src/main/java/org/jasminehub/core/experts/placement/PlacementMove.java
+++ b/core/src/main/java/org/jasminehub/core/experts/placement/PlacementMove.java
@@ -8,7 +8,7 @@
  * @param target the rank that gets a replica
  * @param displaced the expert that makes room there, or {@link LayerLoad#NONE}
  * @param returned the displaced expert where the hot rank takes it in exchange, or {@link LayerLoad#NONE}
- * @param gain by how much the layer's unevenness falls
+ * @param gain by how much the layer's smooth skew falls
  */
 record PlacementMove(int source, int expert, int target, int displaced, int returned, double gain) {
     int copies() {
--- a/core/src/main/java/org/jasminehub/core/experts/placement/PlacementPlanner.java
+++ b/core/src/main/java/org/jasminehub/core/experts/placement/PlacementPlanner.java
@@ -70,21 +70,13 @@
         return worst;
     }
 
-    /** Applies the best change of a layer and returns whether there was one that pays. */
+    /** Applies the best change of a layer and returns whether there was one that pays for its copies. */
     private boolean improve(int layer) {
-        LayerLoad load = layers[layer];
-        double skewBefore = load.skew();
         PlacementMove best = bestMove(layer);
-        if (best == null) {
-            return false;
-        }
-        best.apply(load);
-        // The skew of one layer counts for its share of the mean over layers.
-        double gain = (skewBefore - load.skew()) / layers.length;
-        if (gain < limits.minGainPerCopy() * best.copies() / 2 && best.gain() < limits.minGainPerCopy()) {
-            best.undo(load);
+        if (best == null || best.gain() / layers.length < limits.minGainPerCopy() * best.copies()) {
             return false;
         }
+        best.apply(layers[layer]);
         note(layer, best.target(), best.expert());
         if (best.returned() != LayerLoad.NONE) {
             note(layer, best.source(), best.returned());
@@ -101,7 +93,7 @@
 
     private @Nullable PlacementMove bestMove(int layer) {
         LayerLoad load = layers[layer];
-        double before = load.unevenness();
+        double before = load.smoothSkew();
         int hot = load.hottest();
         PlacementMove best = null;
         for (int expert = 0; expert < load.experts(); expert++) {
@@ -145,7 +137,7 @@
             LayerLoad load, double before, int hot, int expert, int target, int displaced, int returned) {
         PlacementMove move = new PlacementMove(hot, expert, target, displaced, returned, 0);
         move.apply(load);
-        double gain = before - load.unevenness();
+        double gain = before - load.smoothSkew();
         move.undo(load);
         return move.withGain(gain);
     }
--- a/core/src/main/java/org/jasminehub/core/operation/TableHistory.java
+++ b/core/src/main/java/org/jasminehub/core/operation/TableHistory.java
@@ -74,6 +74,7 @@
             if (handover != null) {
                 return handover.open().stream()
                         .noneMatch(open -> open.untilMillis() > nowMillis
+                                && !isAnswered(open)
                                 && open.quarantine().covers(id));
             }
             return remainingMillis(i, nowMillis) <= 0;
@@ -103,7 +104,7 @@
         }
         for (ReceivedHandover handover : handovers.values()) {
             handover.open().stream()
-                    .filter(inherited -> inherited.untilMillis() > nowMillis)
+                    .filter(inherited -> inherited.untilMillis() > nowMillis && !isAnswered(inherited))
                     .map(inherited -> new OpenQuarantine(
                             inherited.quarantine().table(),
                             inherited.quarantine().home(),
@@ -116,6 +117,17 @@
         return open;
     }
 
+    /**
+     * Returns whether this agent needs no quarantine of another's telling: it knows what it ran itself, and what a home
+     * ran that has handed over to it since.
+     */
+    private boolean isAnswered(OpenUntil open) {
+        AgentIncarnation home = open.quarantine().home();
+        return home != null
+                && (home.equals(self)
+                        || handoverCovering(home, open.quarantine().table().epoch()) != null);
+    }
+
     private List<AgentIncarnation> withoutHandover(HomeTable table) {
         return table.members().stream()
                 .filter(member -> !member.equals(self))
--- a/core/src/test/java/org/jasminehub/core/operation/HomeGuardTest.java
+++ b/core/src/test/java/org/jasminehub/core/operation/HomeGuardTest.java
@@ -182,6 +182,25 @@
             assertInstanceOf(GuardDecision.WrongHome.class, send(oldHome, key("fresh"), "body"));
         }
 
+        /** Each of two homes asks the other for a handover; the second one given must not undo the first. */
+        @Test
+        void testHandoversInBothDirectionsLeaveNoQuarantineOnTheOldHomesKeys() {
+            HomeTable both = new HomeTable("bookings", 1, List.of(newId, oldId));
+            oldHome.learn(both);
+            newHome.learn(both);
+            oldHome.learn(onlyNew);
+            newHome.learn(onlyNew);
+            newHome.confirm(2, clock.monotonicMillis());
+            Handover first = Objects.requireNonNull(oldHome.handOver(onlyNew, newId));
+            oldHome.receive(Objects.requireNonNull(newHome.handOver(onlyNew, oldId)));
+            newHome.receive(first);
+            newHome.receive(Objects.requireNonNull(oldHome.handOver(onlyNew, newId)));
+
+            for (int number = 0; number < 20; number++) {
+                assertInstanceOf(GuardDecision.RunNow.class, send(newHome, key("fresh-" + number), "body"));
+            }
+        }
+
         @Test
         void testHandoverForAnOlderTableIsNotGiven() {
             oldHome.learn(onlyOld);
