Queue the log, meter events and tell a request's story from collected logs

Cause: on-call engineers have only logs and metrics; the appender dropped lines without a count and lines had no time. Ruled out: the asynchronous appender of the log library, which neither counts what it drops by kind nor keeps room for failures. Change: a bounded queue with its own writer that leaves served calls out first and says how many lines are missing; counters and latency histograms at the metrics address; jasminehubctl explain and summary.

--- a/ctl/src/main/java/org/jasminehub/ctl/CommandOptions.java
+++ b/ctl/src/main/java/org/jasminehub/ctl/CommandOptions.java
@@ -105,6 +105,23 @@
         int timeoutSeconds = 30;
     }
 
+    /** Options of {@code explain}. */
+    @Parameters(commandDescription = "Tell the story of one request from collected logs")
+    static final class Explain {
+        @Parameter(names = "--request", required = true, description = "The request's id")
+        String request = "";
+
+        @Parameter(description = "FILE...", required = true)
+        List<String> files = new ArrayList<>();
+    }
+
+    /** Options of {@code summary}. */
+    @Parameters(commandDescription = "Count how calls ended, from collected logs")
+    static final class Summary {
+        @Parameter(description = "FILE...", required = true)
+        List<String> files = new ArrayList<>();
+    }
+
     static long parseVersion(String option, String text) {
         try {
             return Long.parseUnsignedLong(text);
--- a/ctl/src/main/java/org/jasminehub/ctl/CtlProgram.java
+++ b/ctl/src/main/java/org/jasminehub/ctl/CtlProgram.java
@@ -81,6 +81,8 @@
         private final CommandOptions.Status status = new CommandOptions.Status();
         private final CommandOptions.History history = new CommandOptions.History();
         private final CommandOptions.Audit audit = new CommandOptions.Audit();
+        private final CommandOptions.Explain explain = new CommandOptions.Explain();
+        private final CommandOptions.Summary summary = new CommandOptions.Summary();
 
         JCommander.Builder addTo(JCommander.Builder builder) {
             return builder.addCommand("check", check)
@@ -88,7 +90,9 @@
                     .addCommand("watch", watch)
                     .addCommand("status", status)
                     .addCommand("history", history)
-                    .addCommand("audit", audit);
+                    .addCommand("audit", audit)
+                    .addCommand("explain", explain)
+                    .addCommand("summary", summary);
         }
 
         void run(String command) {
@@ -99,6 +103,8 @@
                 case "status" -> statusCommand().show(status);
                 case "history" -> new HistoryCommand(connections, pause, out).run(history);
                 case "audit" -> new AuditCommand(connections, pause, out).run(audit);
+                case "explain" -> new ExplainCommand(out).explain(explain);
+                case "summary" -> new ExplainCommand(out).summarize(summary);
                 default -> throw new ParameterException("unknown command " + command);
             }
         }
--- a/gateway/src/main/java/org/jasminehub/gateway/DirectoryHandler.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/DirectoryHandler.java
@@ -26,14 +26,6 @@
     /** The most addresses that callers look at. */
     private static final int MAX_ADDRESSES = 64;
 
-    private static final CallerExchange NOTHING_OPEN = new CallerExchange() {
-        @Override
-        public void onCallerGone() {}
-
-        @Override
-        public void onWritabilityChanged(boolean isWritable) {}
-    };
-
     private final BooleanSupplier isReady;
     private final Supplier<List<InstanceRecord>> instances;
     private final GatewaySettings settings;
@@ -53,7 +45,7 @@
         } else {
             respond(answer, HttpResponseStatus.NOT_FOUND);
         }
-        return NOTHING_OPEN;
+        return CallerExchange.NOTHING_OPEN;
     }
 
     private void resolve(CallerRequest request, CallerAnswer answer) {
--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -1,9 +1,12 @@
 package org.jasminehub.gateway;
 
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -42,6 +45,7 @@
 import org.jasminehub.gateway.net.EndpointClient;
 import org.jasminehub.gateway.net.StoreConnection;
 import org.jasminehub.gateway.peer.PeerServer;
+import org.jasminehub.gateway.telemetry.MetricsHandler;
 import org.jasminehub.platform.hosted.StoreClient;
 import org.jasminehub.wire.generated.InstanceRecord;
 import org.jspecify.annotations.Nullable;
@@ -73,6 +77,7 @@
     private final GatewaySettings settings;
     private final Clock clock;
     private final EventSink events;
+    private final MetricRegistry metrics;
     private final EventLoop loop;
     private final DelayedRunner timer;
     private final EndpointClient client;
@@ -90,7 +95,8 @@
     private boolean isReady;
     private boolean isStopping;
 
-    EntryProgram(GatewaySettings settings, Clock clock, EventSink events) {
+    EntryProgram(GatewaySettings settings, Clock clock, EventSink events, MetricRegistry metrics) {
+        this.metrics = metrics;
         this.settings = settings;
         this.clock = clock;
         this.events = events;
@@ -156,6 +162,7 @@
         DirectoryHandler directory = new DirectoryHandler(() -> isReady, peers::acceptingInstances, settings);
         listen(settings.readinessAddress(), directory);
         listen(settings.directoryAddress(), directory);
+        listen(EndpointAddress.parse(settings.peerAddress()).host() + ":" + settings.metricsPort(), metricsHandler());
         PeerServer.start(loop, EndpointAddress.parse(settings.peerAddress()), peers);
         loop.execute(() -> {
             configuration.start(this::review);
@@ -172,6 +179,22 @@
                 ControlEventKind.PROCESS_STARTED, settings.instance(), "listens at " + settings.callerAddress(), 0));
     }
 
+    private MetricsHandler metricsHandler() {
+        Map<String, Gauge<?>> gauges = Map.of(
+                "calls.open", (Gauge<Integer>) dispatcher::openCalls,
+                "configuration.version",
+                        (Gauge<Long>) () ->
+                                configuration.inForce().map(RouteTable::version).orElse(0L),
+                "configuration.age.millis", (Gauge<Long>) configuration::ageMillis,
+                "endpoints.registered", (Gauge<Integer>) () -> endpoints.all().size(),
+                "endpoints.connections.opened", (Gauge<Long>) client::connectionsOpened,
+                "instances.accepting",
+                        (Gauge<Integer>) () -> peers.acceptingInstances().size(),
+                "ready", (Gauge<Integer>) () -> isReady ? 1 : 0);
+        gauges.forEach(metrics::register);
+        return new MetricsHandler(metrics);
+    }
+
     /** Returns the client that reaches endpoints. */
     EndpointClient client() {
         return client;
--- a/gateway/src/main/java/org/jasminehub/gateway/Main.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/Main.java
@@ -3,6 +3,7 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
+import com.codahale.metrics.MetricRegistry;
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -12,6 +13,8 @@
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.gateway.control.ControlEvent;
 import org.jasminehub.gateway.control.ControlEventKind;
+import org.jasminehub.gateway.telemetry.MeteredEvents;
+import org.jasminehub.gateway.telemetry.QueuedEvents;
 import org.jasminehub.runtime.log.EventLog;
 import org.jasminehub.runtime.settings.SettingsLoader;
 import org.jasminehub.runtime.time.SystemClock;
@@ -23,6 +26,9 @@
     static final int EXIT_OK = 0;
     static final int EXIT_USAGE = 2;
 
+    /** Lines that wait for a stalled standard output: some seconds of a busy instance, within a megabyte. */
+    private static final int LOG_CAPACITY = 2_048;
+
     private static final String SETTINGS_VARIABLE = "JASMINEHUB_BOOT";
 
     private final PrintStream err;
@@ -97,10 +103,12 @@
         if (isCheck) {
             return EXIT_OK;
         }
-        EventSink events = new EventLog(settings.instance());
-        EntryProgram program = new EntryProgram(settings, clock, events);
+        QueuedEvents log = new QueuedEvents(clock, new EventLog(settings.instance())::emitAt, LOG_CAPACITY);
+        MetricRegistry metrics = new MetricRegistry();
+        EventSink events = new MeteredEvents(log, metrics);
+        EntryProgram program = new EntryProgram(settings, clock, events, metrics);
         program.start();
-        Runtime.getRuntime().addShutdownHook(new Thread(program::stop, "stop"));
+        stopWith(program::stop, log);
         // Without a handler of its own the Java machine would end on this signal.
         Signal.handle(new Signal("HUP"), signal -> reload(path, settings, events));
         return EXIT_OK;
@@ -111,14 +119,24 @@
         if (isCheck) {
             return EXIT_OK;
         }
-        EventSink events = new EventLog(settings.instance());
-        RankAgentProgram program = new RankAgentProgram(settings, clock, events);
+        QueuedEvents log = new QueuedEvents(clock, new EventLog(settings.instance())::emitAt, LOG_CAPACITY);
+        RankAgentProgram program = new RankAgentProgram(settings, clock, log);
         program.start();
-        Runtime.getRuntime().addShutdownHook(new Thread(program::stop, "stop"));
+        stopWith(program::stop, log);
         Signal.handle(new Signal("HUP"), signal -> {});
         return EXIT_OK;
     }
 
+    private static void stopWith(Runnable stop, QueuedEvents log) {
+        Thread hook = new Thread(
+                () -> {
+                    stop.run();
+                    log.close();
+                },
+                "stop");
+        Runtime.getRuntime().addShutdownHook(hook);
+    }
+
     private static void reload(Path path, GatewaySettings inForce, EventSink events) {
         String outcome;
         try {
--- a/gateway/src/main/java/org/jasminehub/gateway/Rehearsal.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/Rehearsal.java
@@ -1,5 +1,6 @@
 package org.jasminehub.gateway;
 
+import com.codahale.metrics.MetricRegistry;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -12,6 +13,8 @@
 import org.jasminehub.gateway.net.EndpointAddress;
 import org.jasminehub.gateway.net.EndpointClient;
 import org.jasminehub.gateway.net.WholeCaller;
+import org.jasminehub.gateway.telemetry.MeteredEvents;
+import org.jasminehub.gateway.telemetry.QueuedEvents;
 import org.jasminehub.platform.hosted.RouteTableAdapter;
 import org.jasminehub.runtime.log.EventLog;
 
@@ -23,6 +26,7 @@
     private static final String LOOPBACK = "127.0.0.1:0";
     private static final long CALL_TIMEOUT_MILLIS = 2_000;
     private static final int CALLS = 5;
+    private static final int LOG_CAPACITY = 100;
     private static final String CONFIGURATION = """
             {"version":1,"routes":[{"name":"r","host":"h.example","path_prefix":"/a/","kind":"safe","timeout_ms":100,
             "target_latency_ms":50,"priority":1,"service":"s","attempts":2,"public":true}],
@@ -35,7 +39,9 @@
 
     /** Runs, and returns when enough classes are loaded. */
     static void run(Clock clock) {
-        EventSink events = new EventLog("rehearsal");
+        QueuedEvents log = new QueuedEvents(clock, new EventLog("rehearsal")::emitAt, LOG_CAPACITY);
+        MetricRegistry metrics = new MetricRegistry();
+        EventSink events = new MeteredEvents(log, metrics);
         GatewaySettings settings = new GatewaySettings(
                 "rehearsal",
                 "here",
@@ -53,7 +59,7 @@
                 0.2,
                 10,
                 10);
-        EntryProgram entry = new EntryProgram(settings, clock, events);
+        EntryProgram entry = new EntryProgram(settings, clock, events, metrics);
         entry.start();
         RouteTableAdapter.decode(CONFIGURATION.getBytes(StandardCharsets.UTF_8));
         ReplicaMap map = new ReplicaMap(2, new int[][][] {{{0}, {1}}});
@@ -73,5 +79,6 @@
                         events)
                 .start();
         entry.stop();
+        log.close();
     }
 }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallEventKind.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallEventKind.java
@@ -14,9 +14,7 @@
     /** An attempt at an endpoint failed. */
     ATTEMPT_FAILED(5503, Severity.WARNING, "an endpoint did not give a whole answer; the line says what follows"),
     /** A request could not be read. */
-    REQUEST_MALFORMED(5504, Severity.WARNING, "bytes of a caller are no request; the connection is closed"),
-    /** Lines were left out. */
-    LINES_DROPPED(1504, Severity.WARNING, "the log could not be written fast enough; the line says what was left out");
+    REQUEST_MALFORMED(5504, Severity.WARNING, "bytes of a caller are no request; the connection is closed");
 
     private final int number;
     private final Severity severity;
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/GroupPlacement.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/GroupPlacement.java
@@ -46,7 +46,7 @@
     private static final double MIN_GAIN_PER_COPY = 0.012;
 
     /** By how much a whole change must, since passes are longer while copies run. */
-    private static final double MIN_GAIN = 0.1;
+    private static final double MIN_GAIN = 0.2;
 
     /** Choices in the window below which an expert's share is more chance than demand, for each expert. */
     private static final double MIN_CHOICES_PER_EXPERT = 12;
--- /dev/null
+++ b/gateway/src/main/java/org/jasminehub/gateway/telemetry/LinesDropped.java
@@ -0,0 +1,38 @@
+package org.jasminehub.gateway.telemetry;
+
+import org.jasminehub.core.event.Event;
+import org.jasminehub.core.event.EventKind;
+import org.jasminehub.core.event.Severity;
+
+/**
+ * Lines that were left out because the log could not be written fast enough.
+ *
+ * @param kinds how many of each kind, as {@code KIND=COUNT} separated by commas
+ * @param lines how many in all
+ */
+public record LinesDropped(String kinds, long lines) implements Event {
+    /** The only kind of this event. */
+    enum Kind implements EventKind {
+        LINES_DROPPED;
+
+        @Override
+        public int number() {
+            return 1504;
+        }
+
+        @Override
+        public Severity severity() {
+            return Severity.WARNING;
+        }
+
+        @Override
+        public String meaning() {
+            return "the log could not be written fast enough; the line says what was left out";
+        }
+    }
+
+    @Override
+    public EventKind kind() {
+        return Kind.LINES_DROPPED;
+    }
+}
--- a/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
@@ -1,5 +1,6 @@
 package org.jasminehub.gateway;
 
+import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -92,7 +93,7 @@
                 0.2,
                 60,
                 10);
-        entry = new EntryProgram(settings, clock, events::add);
+        entry = new EntryProgram(settings, clock, events::add, new MetricRegistry());
         entry.start();
     }
 
--- a/gateway/src/test/java/org/jasminehub/gateway/StoreStandin.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/StoreStandin.java
@@ -25,14 +25,6 @@
 final class StoreStandin {
     private record Entry(String key, byte[] value) {}
 
-    private static final CallerExchange NOTHING_OPEN = new CallerExchange() {
-        @Override
-        public void onCallerGone() {}
-
-        @Override
-        public void onWritabilityChanged(boolean isWritable) {}
-    };
-
     private final EventLoop loop;
     private final CallerServer server;
     private final Map<String, List<Entry>> topics = new LinkedHashMap<>();
@@ -69,7 +61,7 @@
     private synchronized CallerExchange handle(CallerRequest request, CallerAnswer answer) {
         if (isDown) {
             respond(answer, HttpResponseStatus.SERVICE_UNAVAILABLE, new byte[0]);
-            return NOTHING_OPEN;
+            return CallerExchange.NOTHING_OPEN;
         }
         QueryStringDecoder query = new QueryStringDecoder(request.uri());
         String topic = query.parameters().get("topic").get(0);
@@ -85,7 +77,7 @@
                     : 0;
             read(log, Integer.parseInt(query.parameters().get("from").get(0)), wait, answer);
         }
-        return NOTHING_OPEN;
+        return CallerExchange.NOTHING_OPEN;
     }
 
     private synchronized void read(List<Entry> log, int from, long waitMillis, CallerAnswer answer) {
--- a/runtime/src/main/java/org/jasminehub/runtime/log/EventLog.java
+++ b/runtime/src/main/java/org/jasminehub/runtime/log/EventLog.java
@@ -38,6 +38,11 @@
         logger.at(level).log("%s", new Line(event));
     }
 
+    /** Writes an event that happened at {@code wallMillis}, which the field {@code time} states in milliseconds. */
+    public void emitAt(Event event, long wallMillis) {
+        logger.at(levelOf(event.kind().severity())).log("%s", new Line(event, wallMillis));
+    }
+
     private static Level levelOf(Severity severity) {
         return switch (severity) {
             case DETAIL -> Level.FINE;
@@ -49,16 +54,27 @@
 
     /** Renders an event only where its level is enabled. */
     private final class Line {
+        private static final long NO_TIME = -1;
+
         private final Event event;
+        private final long wallMillis;
 
         Line(Event event) {
+            this(event, NO_TIME);
+        }
+
+        Line(Event event, long wallMillis) {
             this.event = event;
+            this.wallMillis = wallMillis;
         }
 
         @Override
         public String toString() {
             EventKind kind = event.kind();
             ObjectNode line = mapper.createObjectNode();
+            if (wallMillis != NO_TIME) {
+                line.put("time", wallMillis);
+            }
             line.put("event", kind.number());
             line.put("name", kind.name());
             line.put("instance", instance);
