Reach an engine directly when its agent is silent in the middle of a change

Cause: a step that is held stops the whole group; when an agent dies between hold and arm, the group would stand still until the agent is back. Ruled out: releasing the step after a time-out, which could leave one rank on another map. Change: while a change is open, the coordinator speaks to engines whose agents are silent at their registered address; the same code that agents use.

--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -124,7 +124,15 @@
                 clock,
                 events);
         this.experts = new ExpertCoordinator(
-                loop, clock, timer, events, instances::rankAgents, this::expertLayout, peers::isFirst);
+                loop,
+                clock,
+                timer,
+                events,
+                instances::rankAgents,
+                this::expertLayout,
+                client,
+                endpoints::all,
+                peers::isFirst);
         RandomGenerator random = new SplittableRandom(settings.instance().hashCode() ^ clock.wallMillis());
         this.budget = new RepeatBudget(clock, settings.repeatRatio(), settings.repeatReserve(), (long)
                 (settings.repeatWindowSeconds() * TimeUnit.SECONDS.toMillis(1)));
--- a/gateway/src/main/java/org/jasminehub/gateway/RankAgentProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/RankAgentProgram.java
@@ -10,7 +10,7 @@
 import org.jasminehub.gateway.control.ControlEvent;
 import org.jasminehub.gateway.control.ControlEventKind;
 import org.jasminehub.gateway.control.InstanceRegistration;
-import org.jasminehub.gateway.experts.RankAgent;
+import org.jasminehub.gateway.experts.RankAgentService;
 import org.jasminehub.gateway.net.EndpointAddress;
 import org.jasminehub.gateway.net.EndpointClient;
 import org.jasminehub.gateway.net.StoreConnection;
@@ -25,7 +25,7 @@
     private final EventLoop loop;
     private final EventSink events;
     private final InstanceRegistration registration;
-    private final RankAgent agent;
+    private final RankAgentService agent;
 
     RankAgentProgram(RankAgentSettings settings, Clock clock, EventSink events) {
         this.settings = settings;
@@ -49,7 +49,7 @@
                 (delayMillis, action) -> loop.schedule(action, delayMillis, TimeUnit.MILLISECONDS),
                 events);
         WholeCaller engine = new WholeCaller(client, EndpointAddress.parse(settings.engineAddress()), "engine");
-        this.agent = new RankAgent(loop, clock, engine, events);
+        this.agent = new RankAgentService(loop, clock, engine, events);
     }
 
     void start() {
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/ExpertCoordinator.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/ExpertCoordinator.java
@@ -9,10 +9,14 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.jasminehub.core.event.EventSink;
+import org.jasminehub.core.serving.EndpointRecord;
 import org.jasminehub.core.serving.ExpertLayout;
+import org.jasminehub.core.serving.GroupSeat;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.gateway.control.DelayedRunner;
 import org.jasminehub.gateway.net.EndpointAddress;
+import org.jasminehub.gateway.net.EndpointClient;
+import org.jasminehub.gateway.net.WholeCaller;
 import org.jasminehub.gateway.peer.PeerConnection;
 import org.jasminehub.gateway.peer.PeerLink;
 import org.jasminehub.gateway.peer.PeerListener;
@@ -41,6 +45,9 @@
     private final BooleanSupplier isResponsible;
     private final Map<EndpointAddress, PeerLink> links = new HashMap<>();
     private final Map<String, GroupPlacement> groups = new HashMap<>();
+    private final EndpointClient client;
+    private final Supplier<List<EndpointRecord>> endpoints;
+    private final Map<EndpointAddress, RankAgent> substitutes = new HashMap<>();
     private boolean wasResponsible;
     private long watchedMillis;
 
@@ -52,6 +59,8 @@
             EventSink events,
             Supplier<List<InstanceRecord>> agents,
             Supplier<ExpertLayout> layout,
+            EndpointClient client,
+            Supplier<List<EndpointRecord>> endpoints,
             BooleanSupplier isResponsible) {
         this.loop = loop;
         this.clock = clock;
@@ -59,6 +68,8 @@
         this.events = events;
         this.agents = agents;
         this.layout = layout;
+        this.client = client;
+        this.endpoints = endpoints;
         this.isResponsible = isResponsible;
     }
 
@@ -73,11 +84,13 @@
                 links.values().forEach(PeerLink::close);
                 links.clear();
                 groups.clear();
+                substitutes.clear();
             }
         }
         if (isNow) {
             connect();
             watch();
+            groups.forEach(this::substitute);
             groups.values().forEach(GroupPlacement::advance);
         }
         timer.runAfter(TICK_MILLIS, this::start);
@@ -100,6 +113,50 @@
         });
     }
 
+    /** Speaks to engines directly while a change is open and their agents are silent. */
+    private void substitute(String name, GroupPlacement group) {
+        List<Integer> orphaned = group.orphanedRanks();
+        if (orphaned.isEmpty()) {
+            return;
+        }
+        for (EndpointRecord endpoint : endpoints.get()) {
+            GroupSeat seat = endpoint.seat();
+            if (seat != null && seat.group().equals(name) && orphaned.contains(seat.rank())) {
+                EndpointAddress address = new EndpointAddress(endpoint.host(), endpoint.port());
+                substitutes
+                        .computeIfAbsent(address, each -> newSubstitute(each, group))
+                        .refresh();
+            }
+        }
+    }
+
+    private RankAgent newSubstitute(EndpointAddress address, GroupPlacement group) {
+        RankAgent agent = new RankAgent(loop, clock, new WholeCaller(client, address, "engine"), events);
+        // Orders go to the substitute, and what it says comes back to the group's placement.
+        RankMessenger orders = new RankMessenger() {
+            @Override
+            public void send(PeerEnvelope message) {
+                agent.onMessage(replies(this, group), message);
+            }
+        };
+        agent.onMessage(
+                replies(orders, group),
+                PeerEnvelope.newBuilder()
+                        .setRankWatch(RankWatch.getDefaultInstance())
+                        .build());
+        return agent;
+    }
+
+    private static RankMessenger replies(RankMessenger orders, GroupPlacement group) {
+        return message -> {
+            if (message.hasRankStatus()) {
+                group.onStatus(orders, message.getRankStatus());
+            } else if (message.hasRankOrderReply()) {
+                group.onReply(orders, message.getRankOrderReply());
+            }
+        };
+    }
+
     private void watch() {
         if (clock.monotonicMillis() - watchedMillis < WATCH_INTERVAL_MILLIS) {
             return;
@@ -117,6 +174,7 @@
     /** Hears one agent. */
     private final class AgentListener implements PeerListener {
         private final EndpointAddress address;
+        private RankMessenger messenger = message -> {};
 
         AgentListener(EndpointAddress address) {
             this.address = address;
@@ -124,6 +182,7 @@
 
         @Override
         public void onConnected(PeerConnection connection) {
+            messenger = connection::send;
             connection.send(watchMessage());
         }
 
@@ -133,15 +192,15 @@
                 groups.computeIfAbsent(
                                 message.getRankStatus().getGroup(),
                                 name -> new GroupPlacement(name, clock, events, layout))
-                        .onStatus(connection, message.getRankStatus());
+                        .onStatus(messenger, message.getRankStatus());
             } else if (message.hasRankOrderReply()) {
-                groups.values().forEach(group -> group.onReply(connection, message.getRankOrderReply()));
+                groups.values().forEach(group -> group.onReply(messenger, message.getRankOrderReply()));
             }
         }
 
         @Override
         public void onClosed(PeerConnection connection) {
-            groups.values().forEach(group -> group.onAgentLost(connection));
+            groups.values().forEach(group -> group.onAgentLost(messenger));
         }
 
         @Override
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/GroupPlacement.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/GroupPlacement.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Supplier;
+import java.util.stream.IntStream;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.experts.placement.MapChangePolicy;
 import org.jasminehub.core.experts.placement.PlacementLimits;
@@ -18,7 +19,6 @@
 import org.jasminehub.core.experts.placement.ReplicaMap;
 import org.jasminehub.core.serving.ExpertLayout;
 import org.jasminehub.core.time.Clock;
-import org.jasminehub.gateway.peer.PeerConnection;
 import org.jasminehub.platform.hosted.EngineAdapter;
 import org.jasminehub.wire.generated.PeerEnvelope;
 import org.jasminehub.wire.generated.RankOrderReply;
@@ -30,6 +30,9 @@
     /** A status older than a few heartbeats of its agent decides nothing. */
     private static final long FRESH_MILLIS = 700;
 
+    /** Two heartbeats of an agent: after that another way to the rank is worth its price, if a change is open. */
+    private static final long SILENT_MILLIS = 500;
+
     /** An order that was not answered in this time is given again; agents give up on the engine before. */
     private static final long ORDER_RETRY_MILLIS = 260;
 
@@ -75,13 +78,13 @@
         this.layout = layout;
     }
 
-    void onStatus(PeerConnection connection, RankStatus status) {
+    void onStatus(RankMessenger connection, RankStatus status) {
         RankSeat seat = seats.computeIfAbsent(status.getRank(), RankSeat::new);
         seat.onStatus(connection, status, clock.monotonicMillis());
         advance();
     }
 
-    void onReply(PeerConnection connection, RankOrderReply reply) {
+    void onReply(RankMessenger connection, RankOrderReply reply) {
         for (RankSeat seat : seats.values()) {
             @Nullable RankOrder order = seat.takeOrder(connection, reply.getOrderId());
             if (order == null) {
@@ -105,10 +108,36 @@
         }
     }
 
-    void onAgentLost(PeerConnection connection) {
+    void onAgentLost(RankMessenger connection) {
         seats.values().removeIf(seat -> seat.isServedBy(connection));
     }
 
+    /**
+     * Returns the ranks that nobody speaks for although the group is in the middle of a change, which must not stay
+     * there: a step that is held stops the whole group.
+     */
+    List<Integer> orphanedRanks() {
+        long fromMillis = clock.monotonicMillis() - SILENT_MILLIS;
+        List<RankSeat> fresh = seats.values().stream()
+                .filter(seat -> seat.heardMillis() >= fromMillis)
+                .toList();
+        boolean isInChange = fresh.stream()
+                .anyMatch(
+                        seat -> seat.status().getHeldStep() > 0 || seat.status().getArmedVersion() > 0);
+        int size = fresh.stream()
+                .mapToInt(seat -> seat.status().getGroupSize())
+                .max()
+                .orElse(0);
+        if (!isInChange) {
+            return List.of();
+        }
+        List<Integer> heard = fresh.stream().map(RankSeat::rank).toList();
+        return IntStream.range(0, size)
+                .boxed()
+                .filter(rank -> !heard.contains(rank))
+                .toList();
+    }
+
     /** Gives the orders that are due, or plans a change where none runs. */
     void advance() {
         List<RankView> views = freshViews();
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/RankAgent.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/RankAgent.java
@@ -11,8 +11,6 @@
 import org.jasminehub.core.experts.placement.RankView;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.gateway.net.WholeCaller;
-import org.jasminehub.gateway.peer.PeerConnection;
-import org.jasminehub.gateway.peer.PeerListener;
 import org.jasminehub.platform.hosted.EngineAdapter;
 import org.jasminehub.platform.hosted.EngineCall;
 import org.jasminehub.platform.hosted.EngineReport;
@@ -30,7 +28,7 @@
  *
  * <p>It decides nothing and keeps nothing but what it last read. Used on its event loop only.
  */
-public final class RankAgent implements PeerListener {
+final class RankAgent {
     /** The engine is on the same machine and its report costs it nothing. */
     private static final long REPORT_INTERVAL_MILLIS = 60;
 
@@ -47,7 +45,7 @@
     private final Clock clock;
     private final WholeCaller engine;
     private final EventSink events;
-    private final Map<PeerConnection, Boolean> watchers = new HashMap<>();
+    private final Map<RankMessenger, Boolean> watchers = new HashMap<>();
     private RankStatus status = RankStatus.getDefaultInstance();
     private RankStatus sent = status;
     private long sentMillis;
@@ -57,7 +55,7 @@
     private String holdingsKey = "";
 
     /** Creates an agent of the engine that {@code engine} calls. */
-    public RankAgent(EventLoop loop, Clock clock, WholeCaller engine, EventSink events) {
+    RankAgent(EventLoop loop, Clock clock, WholeCaller engine, EventSink events) {
         this.loop = loop;
         this.clock = clock;
         this.engine = engine;
@@ -65,7 +63,7 @@
     }
 
     /** Starts to read the engine's reports. */
-    public void start() {
+    void start() {
         tick();
     }
 
@@ -76,7 +74,8 @@
         loop.schedule(this::tick, REPORT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private CompletableFuture<Void> refresh() {
+    /** Reads the engine's report and passes it on. */
+    CompletableFuture<Void> refresh() {
         return call(EngineAdapter.report())
                 .thenAccept(answer -> onReport(EngineAdapter.decodeReport(answer.body())))
                 .handle((done, failure) -> {
@@ -190,30 +189,25 @@
         watchers.forEach((watcher, wantsCounts) -> watcher.send(wantsCounts ? withCounts : withoutCounts));
     }
 
-    @Override
-    public void onConnected(PeerConnection connection) {
-        // It becomes a watcher with its first message.
-    }
-
-    @Override
-    public void onMessage(PeerConnection connection, PeerEnvelope message) {
+    /** Takes a message of a coordinator, which becomes a watcher with its first one. */
+    void onMessage(RankMessenger coordinator, PeerEnvelope message) {
         if (message.hasRankWatch()) {
-            boolean isNew = watchers.put(connection, message.getRankWatch().getWithCounts()) == null;
+            boolean isNew = watchers.put(coordinator, message.getRankWatch().getWithCounts()) == null;
             if (isNew) {
                 sent = RankStatus.getDefaultInstance();
                 refresh();
             }
         } else if (message.hasRankOrderRequest()) {
-            onOrder(connection, message.getRankOrderRequest());
+            onOrder(coordinator, message.getRankOrderRequest());
         }
     }
 
-    @Override
-    public void onClosed(PeerConnection connection) {
-        watchers.remove(connection);
+    /** Forgets a coordinator. */
+    void onLost(RankMessenger coordinator) {
+        watchers.remove(coordinator);
     }
 
-    private void onOrder(PeerConnection connection, RankOrderRequest request) {
+    private void onOrder(RankMessenger connection, RankOrderRequest request) {
         if (request.getKind() == RankOrderKind.RANK_HOLD) {
             // The step to hold is counted from the present one, which only a report of this moment tells.
             refresh().thenRun(() -> give(connection, request, status.getStep() + request.getStep()));
@@ -222,7 +216,7 @@
         }
     }
 
-    private void give(PeerConnection connection, RankOrderRequest request, long step) {
+    private void give(RankMessenger connection, RankOrderRequest request, long step) {
         RankOrder order =
                 new RankOrder(status.getRank(), RankOrders.kindOf(request.getKind()), request.getVersion(), step);
         EngineCall call = EngineAdapter.order(order, request.getEpoch(), RankOrders.mapOf(request));
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/RankSeat.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/RankSeat.java
@@ -1,7 +1,6 @@
 package org.jasminehub.gateway.experts;
 
 import org.jasminehub.core.experts.placement.RankOrder;
-import org.jasminehub.gateway.peer.PeerConnection;
 import org.jasminehub.wire.generated.PeerEnvelope;
 import org.jasminehub.wire.generated.RankStatus;
 import org.jspecify.annotations.Nullable;
@@ -10,7 +9,7 @@
 final class RankSeat {
     private final int rank;
     private final ExpertCounts counts = new ExpertCounts();
-    private @Nullable PeerConnection connection;
+    private @Nullable RankMessenger connection;
     private RankStatus status = RankStatus.getDefaultInstance();
     private long heardMillis;
     private @Nullable RankOrder open;
@@ -38,11 +37,11 @@
         return counts;
     }
 
-    boolean isServedBy(PeerConnection other) {
+    boolean isServedBy(RankMessenger other) {
         return connection == other;
     }
 
-    void onStatus(PeerConnection from, RankStatus next, long nowMillis) {
+    void onStatus(RankMessenger from, RankStatus next, long nowMillis) {
         boolean isAnew =
                 next.getEpoch() != status.getEpoch() || next.getStartedWallMillis() != status.getStartedWallMillis();
         if (isAnew) {
@@ -84,7 +83,7 @@
 
     /** Returns the open order if {@code id} is its, and closes it; null otherwise. */
     @Nullable
-    RankOrder takeOrder(PeerConnection from, long id) {
+    RankOrder takeOrder(RankMessenger from, long id) {
         if (connection != from || openId != id || open == null) {
             return null;
         }
