--- a/app/src/test/java/org/jasminehub/app/EventCatalogueTest.java
+++ b/app/src/test/java/org/jasminehub/app/EventCatalogueTest.java
@@ -42,6 +42,8 @@
         return "# Events\n\nEvery line of the log is a JSON object; lines of the system's own hold a `record` with"
                 + " `event` (the number), `name`,\n`instance` and the fields of the event. Numbers are never reused."
                 + " A test keeps this page equal to the code; after a\nchange, copy `app/target/EVENTS.md` here.\n\n"
+                + "A gateway's lines are that record itself, with `time` in milliseconds since 1970. Fields say their"
+                + " unit. Metrics of a\ngateway are listed in `OPERATIONS.md`.\n\n"
                 + "| number | name | severity | meaning |\n| --- | --- | --- | --- |\n" + rows;
     }
 
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/ExpertEventKind.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/ExpertEventKind.java
@@ -6,15 +6,15 @@
 /** Events of expert maps; numbers 8500 to 8599. */
 public enum ExpertEventKind implements EventKind {
     /** A new map was planned. */
-    MAP_PLANNED(8500, Severity.INFO, "a new map is worth its copies and is being prepared"),
+    MAP_PLANNED(8500, Severity.INFO, "A new map is worth its copies and is being prepared."),
     /** A group uses a new map. */
-    MAP_IN_USE(8501, Severity.INFO, "all ranks of a group use a new map"),
+    MAP_IN_USE(8501, Severity.INFO, "All ranks of a group use a new map."),
     /** An order failed. */
-    ORDER_FAILED(8502, Severity.WARNING, "a rank refused an order or did not answer it"),
+    ORDER_FAILED(8502, Severity.WARNING, "A rank refused an order or did not answer it."),
     /** Coordination began or ended here. */
-    COORDINATION_CHANGED(8503, Severity.INFO, "this instance began or ceased to place experts"),
+    COORDINATION_CHANGED(8503, Severity.INFO, "This instance began or ceased to place experts."),
     /** An engine does not answer its agent. */
-    ENGINE_UNREADABLE(8504, Severity.WARNING, "an engine did not answer its agent, or not readably");
+    ENGINE_UNREADABLE(8504, Severity.WARNING, "An engine did not answer its agent, or not readably.");
 
     private final int number;
     private final Severity severity;
--- a/gateway/src/main/java/org/jasminehub/gateway/telemetry/LinesDropped.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/telemetry/LinesDropped.java
@@ -27,7 +27,7 @@
 
         @Override
         public String meaning() {
-            return "the log could not be written fast enough; the line says what was left out";
+            return "The log could not be written fast enough; the line says what was left out.";
         }
     }
 
--- /dev/null
+++ b/gateway/src/test/java/org/jasminehub/gateway/experts/ExpertPlacementTest.java
@@ -0,0 +1,165 @@
+package org.jasminehub.gateway.experts;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import org.jasminehub.core.event.EventSink;
+import org.jasminehub.core.identity.EndpointId;
+import org.jasminehub.core.identity.FailureDomain;
+import org.jasminehub.core.serving.EndpointRecord;
+import org.jasminehub.core.serving.ExpertLayout;
+import org.jasminehub.core.serving.GroupSeat;
+import org.jasminehub.core.time.Clock;
+import org.jasminehub.gateway.control.DelayedRunner;
+import org.jasminehub.gateway.net.EndpointAddress;
+import org.jasminehub.gateway.net.EndpointClient;
+import org.jasminehub.gateway.net.WholeCaller;
+import org.jasminehub.gateway.peer.PeerServer;
+import org.jasminehub.runtime.time.SystemClock;
+import org.jasminehub.wire.generated.InstanceRecord;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Coordinators, agents and a group of engines over real sockets. */
+@Timeout(60)
+final class ExpertPlacementTest {
+    private static final int SIZE = 3;
+    private static final int EXPERTS = 6;
+    private static final int HOT = 0;
+    private static final ExpertLayout LAYOUT = new ExpertLayout(1, EXPERTS, 4, 2, 1, 0.85);
+
+    private final Clock clock = new SystemClock();
+    private final EventSink events = event -> {};
+    private final List<PeerServer> agentServers = new ArrayList<>();
+    private final List<InstanceRecord> agents = new ArrayList<>();
+    private final AtomicBoolean isFirstResponsible = new AtomicBoolean(true);
+    private EventLoop loop;
+    private EventLoop engineLoop;
+    private GroupStandin group;
+
+    private static EventLoop newLoop(String name) {
+        return new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory(name, true), NioIoHandler.newFactory())
+                .next();
+    }
+
+    @BeforeEach
+    void start() {
+        loop = newLoop("system");
+        engineLoop = newLoop("engines");
+        group = new GroupStandin(engineLoop, SIZE, EXPERTS, HOT);
+        for (int rank = 0; rank < SIZE; rank++) {
+            WholeCaller engine = new WholeCaller(new EndpointClient(loop, clock), group.address(rank), "engine");
+            RankAgentService agent = new RankAgentService(loop, clock, engine, events);
+            PeerServer server = PeerServer.start(loop, new EndpointAddress("127.0.0.1", 0), agent);
+            loop.execute(agent::start);
+            agentServers.add(server);
+            agents.add(InstanceRecord.newBuilder()
+                    .setInstance("agent-" + rank)
+                    .setHost("127.0.0.1")
+                    .setPeerPort(server.port())
+                    .setIsRankAgent(true)
+                    .build());
+        }
+    }
+
+    @AfterEach
+    void stop() {
+        loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+        engineLoop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+
+    private void startCoordinator(BooleanSupplier isResponsible) {
+        DelayedRunner timer = (delayMillis, action) -> loop.schedule(action, delayMillis, TimeUnit.MILLISECONDS);
+        ExpertCoordinator coordinator = new ExpertCoordinator(
+                loop,
+                clock,
+                timer,
+                events,
+                () -> agents,
+                () -> LAYOUT,
+                new EndpointClient(loop, clock),
+                this::endpoints,
+                isResponsible);
+        loop.execute(coordinator::start);
+    }
+
+    private List<EndpointRecord> endpoints() {
+        List<EndpointRecord> result = new ArrayList<>();
+        for (int rank = 0; rank < SIZE; rank++) {
+            result.add(new EndpointRecord(
+                    new EndpointId("e-" + rank),
+                    1,
+                    "one",
+                    "127.0.0.1",
+                    group.address(rank).port(),
+                    new FailureDomain("a"),
+                    8,
+                    false,
+                    new GroupSeat("g", 1, rank, SIZE, true)));
+        }
+        return result;
+    }
+
+    private static void await(BooleanSupplier condition) {
+        while (!condition.getAsBoolean()) {
+            if (Thread.currentThread().isInterrupted()) {
+                throw new AssertionError("the test's time is up");
+            }
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(5));
+        }
+    }
+
+    @Test
+    void testAHotExpertGetsReplicasAndTheGroupStaysOnOneMap() {
+        startCoordinator(() -> true);
+
+        await(() -> group.ranksWith(HOT) > 1);
+
+        assertFalse(group.isMixed());
+    }
+
+    @Test
+    void testOrdersWhoseAnswersAreLostAreGivenAgain() {
+        group.loseAnswers(9);
+        startCoordinator(() -> true);
+
+        await(() -> group.ranksWith(HOT) > 1 && !group.isHeld());
+
+        assertFalse(group.isMixed());
+    }
+
+    @Test
+    void testTwoCoordinatorsAtOnceKeepTheGroupOnOneMap() {
+        startCoordinator(isFirstResponsible::get);
+        startCoordinator(() -> true);
+
+        await(() -> group.ranksWith(HOT) > 1);
+        isFirstResponsible.set(false);
+        await(() -> !group.isHeld());
+
+        assertFalse(group.isMixed());
+    }
+
+    @Test
+    void testAStepThatIsHeldIsReleasedThoughTheAgentOfOneEngineIsGone() {
+        group.holdNextStep();
+        agentServers.get(1).close();
+        agents.remove(1);
+        startCoordinator(() -> true);
+
+        await(() -> !group.isHeld() && group.mapInUse() > 0);
+
+        assertFalse(group.isMixed());
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/jasminehub/gateway/experts/GroupStandin.java
@@ -0,0 +1,202 @@
+package org.jasminehub.gateway.experts;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.jasminehub.core.serving.CallerLimits;
+import org.jasminehub.gateway.net.CallerAnswer;
+import org.jasminehub.gateway.net.CallerExchange;
+import org.jasminehub.gateway.net.CallerRequest;
+import org.jasminehub.gateway.net.CallerServer;
+import org.jasminehub.gateway.net.EndpointAddress;
+
+/** The engines of one group, in lock step, each behind an HTTP server of its own; one layer of experts. */
+final class GroupStandin {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final long PASS_MILLIS = 10;
+    /** How many choices of an expert a pass adds at every rank. */
+    private static final int CHOICES_A_PASS = 40;
+
+    /** One rank. */
+    private static final class Rank {
+        private long map;
+        private long newest;
+        private long prepared;
+        private long armed;
+        private long armedStep;
+        private long held;
+        private Set<Integer> experts = new HashSet<>();
+        private Set<Integer> preparedExperts = new HashSet<>();
+        private long[] counts = new long[0];
+    }
+
+    private final EventLoop loop;
+    private final List<Rank> ranks = new ArrayList<>();
+    private final List<CallerServer> servers = new ArrayList<>();
+    private final int hotExpert;
+    private long step = 1;
+    private int unansweredOrders;
+    private boolean isMixed;
+
+    /** Starts a group whose requests all choose {@code hotExpert} most of the time. */
+    GroupStandin(EventLoop loop, int size, int experts, int hotExpert) {
+        this.loop = loop;
+        this.hotExpert = hotExpert;
+        for (int index = 0; index < size; index++) {
+            Rank rank = new Rank();
+            rank.counts = new long[experts];
+            for (int expert = index; expert < experts; expert += size) {
+                rank.experts.add(expert);
+            }
+            ranks.add(rank);
+            int number = index;
+            servers.add(CallerServer.start(
+                    loop,
+                    new EndpointAddress("127.0.0.1", 0),
+                    () -> CallerLimits.DEFAULT,
+                    (request, answer) -> handle(number, request, answer),
+                    (status, reason) -> {}));
+        }
+        loop.scheduleAtFixedRate(this::pass, PASS_MILLIS, PASS_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    EndpointAddress address(int rank) {
+        return new EndpointAddress("127.0.0.1", servers.get(rank).port());
+    }
+
+    /** Takes the next orders without an answer. */
+    synchronized void loseAnswers(int orders) {
+        unansweredOrders = orders;
+    }
+
+    /** Holds the step after the next, as a coordinator did that has died since. */
+    synchronized void holdNextStep() {
+        ranks.get(0).held = step + 2;
+    }
+
+    synchronized boolean isMixed() {
+        return isMixed;
+    }
+
+    synchronized long mapInUse() {
+        return ranks.get(0).map;
+    }
+
+    synchronized long ranksWith(int expert) {
+        return ranks.stream().filter(rank -> rank.experts.contains(expert)).count();
+    }
+
+    synchronized boolean isHeld() {
+        return ranks.stream().anyMatch(rank -> rank.held > 0);
+    }
+
+    private synchronized void pass() {
+        if (ranks.stream().anyMatch(rank -> rank.held == step + 1)) {
+            return;
+        }
+        step++;
+        for (Rank rank : ranks) {
+            if (rank.armed > 0 && rank.armedStep == step) {
+                rank.map = rank.armed;
+                rank.experts = rank.preparedExperts;
+                rank.armed = 0;
+            }
+            Arrays.setAll(rank.counts, expert -> rank.counts[expert] + (expert == hotExpert ? CHOICES_A_PASS : 1));
+        }
+        isMixed |= ranks.stream().map(rank -> rank.map).distinct().count() > 1;
+    }
+
+    private synchronized CallerExchange handle(int number, CallerRequest request, CallerAnswer answer) {
+        Rank rank = ranks.get(number);
+        if (request.path().equals("/report")) {
+            respond(answer, HttpResponseStatus.OK, report(number));
+        } else if (request.uri().equals("/picked")) {
+            respond(answer, HttpResponseStatus.OK, "{\"counts\":" + Arrays.toString(rank.counts) + "}");
+        } else if (request.path().equals("/picked")) {
+            respond(
+                    answer,
+                    HttpResponseStatus.OK,
+                    "{\"map\":{\"version\":" + rank.map + ",\"experts\":[" + rank.experts + "]}}");
+        } else {
+            boolean isTaken = apply(rank, parse(request.body()));
+            if (unansweredOrders > 0) {
+                unansweredOrders--;
+            } else {
+                respond(answer, isTaken ? HttpResponseStatus.OK : HttpResponseStatus.CONFLICT, "");
+            }
+        }
+        return CallerExchange.NOTHING_OPEN;
+    }
+
+    private String report(int number) {
+        Rank rank = ranks.get(number);
+        return "{\"group\":{\"name\":\"g\",\"epoch\":1,\"rank\":" + number + ",\"state\":\"open\"},\"size\":"
+                + ranks.size() + ",\"born\":1,\"pace\":1.0,\"step\":" + step + ",\"map\":" + rank.map
+                + ",\"prepared\":" + (rank.prepared == 0 ? "null" : rank.prepared) + ",\"armed\":"
+                + (rank.armed == 0 ? "null" : "{\"version\":" + rank.armed + ",\"step\":" + rank.armedStep + "}")
+                + ",\"held\":" + (rank.held == 0 ? "null" : rank.held) + "}";
+    }
+
+    private boolean apply(Rank rank, JsonNode order) {
+        long version = order.path("version").asLong();
+        long target = order.path("step").asLong();
+        return switch (order.path("operation").asText()) {
+            case "prepare" -> prepare(rank, version, order);
+            case "arm" -> arm(rank, version, target);
+            case "hold" -> {
+                boolean isFree = rank.held == 0 && target > step;
+                rank.held = isFree ? target : rank.held;
+                yield isFree;
+            }
+            case "go" -> {
+                rank.held = rank.held == target ? 0 : rank.held;
+                yield true;
+            }
+            default -> false;
+        };
+    }
+
+    private boolean prepare(Rank rank, long version, JsonNode order) {
+        if (version <= rank.newest || rank.armed > 0) {
+            return false;
+        }
+        rank.newest = version;
+        rank.prepared = version;
+        rank.preparedExperts = new HashSet<>();
+        order.path("map").path(0).path(ranks.indexOf(rank)).forEach(expert -> rank.preparedExperts.add(expert.asInt()));
+        return true;
+    }
+
+    private boolean arm(Rank rank, long version, long target) {
+        if (rank.prepared != version || target <= step) {
+            return false;
+        }
+        rank.armed = version;
+        rank.armedStep = target;
+        return true;
+    }
+
+    private static JsonNode parse(byte[] body) {
+        try {
+            return MAPPER.readTree(body);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void respond(CallerAnswer answer, HttpResponseStatus status, String body) {
+        byte[] bytes = (body.isEmpty() ? "{}" : body).getBytes(StandardCharsets.UTF_8);
+        loop.execute(() -> answer.whole(status, new DefaultHttpHeaders(false), bytes));
+    }
+}
