Finish a change whose holder cannot be heard, and work around slow ranks

One rank at 12 times its usual time slowed every pass of the group for 9 s. Ruled out: a lost release (the order was never given: the ranks that answered were neither armed nor held). Change: a change counts as open by the last word of a rank that is silent, by an open order, or when a group with work begins no step; plans weigh each rank's pace, and may move or drop replicas; the coordinator tells the other instances which endpoints are slow; a stream is not moved while its whole group stands still; engines that refuse get 150 ms.

--- a/core/src/main/java/org/jasminehub/core/balance/EndpointChoicePolicy.java
+++ b/core/src/main/java/org/jasminehub/core/balance/EndpointChoicePolicy.java
@@ -55,8 +55,12 @@
         EndpointRecord best = null;
         double bestScore = Double.MAX_VALUE;
         for (EndpointRecord candidate : candidates) {
-            double load = (double) loads.openCalls(candidate.id()) / candidate.slots();
-            if (load >= maxCallsPerSlot) {
+            // A slow endpoint's calls take as much of it as several would elsewhere, this one included.
+            double pace = loads.pace(candidate.id());
+            double open = loads.openCalls(candidate.id());
+            double load = open * pace / candidate.slots();
+            if (open >= candidate.slots() * maxCallsPerSlot
+                    || (open + 1) * pace > candidate.slots() * maxCallsPerSlot) {
                 continue;
             }
             double score = load
--- a/core/src/main/java/org/jasminehub/core/balance/EndpointLoads.java
+++ b/core/src/main/java/org/jasminehub/core/balance/EndpointLoads.java
@@ -24,6 +24,8 @@
     private final Map<EndpointId, Integer> own = new HashMap<>();
     private final Map<String, PeerView> peers = new HashMap<>();
     private final Map<EndpointId, Failures> failures = new HashMap<>();
+    private Map<EndpointId, Double> paces = Map.of();
+    private long pacesMillis;
 
     /** Creates loads without a call. */
     public EndpointLoads(Clock clock) {
@@ -63,6 +65,18 @@
         peers.remove(peer);
     }
 
+    /** Takes what a peer says of endpoints that are slow; it replaces what was said before. */
+    public void onPaces(Map<EndpointId, Double> slow) {
+        paces = Map.copyOf(slow);
+        pacesMillis = clock.monotonicMillis();
+    }
+
+    /** Returns how many times as long the endpoint's work takes, 1 where nobody says that it is slow. */
+    public double pace(EndpointId endpoint) {
+        boolean isFresh = clock.monotonicMillis() - pacesMillis <= PEER_VIEW_MILLIS;
+        return isFresh ? paces.getOrDefault(endpoint, 1.0) : 1.0;
+    }
+
     /** Returns the open calls of this instance. */
     public Map<EndpointId, Integer> ownCalls() {
         return Map.copyOf(own);
--- a/core/src/main/java/org/jasminehub/core/experts/placement/LayerLoad.java
+++ b/core/src/main/java/org/jasminehub/core/experts/placement/LayerLoad.java
@@ -11,13 +11,17 @@
     private static final double SMOOTH_POWER = 8;
 
     private final double[] expertLoad;
+    private final double[] rankPace;
+    private final double total;
     private final boolean[][] holds;
     private final int[] replicas;
     private final int[] held;
     private final double[] rankLoad;
 
-    LayerLoad(ReplicaMap map, int layer, double[] expertLoad) {
+    LayerLoad(ReplicaMap map, int layer, double[] expertLoad, double[] rankPace) {
         this.expertLoad = expertLoad;
+        this.rankPace = rankPace;
+        this.total = Arrays.stream(expertLoad).sum();
         this.holds = new boolean[map.ranks()][map.experts()];
         this.replicas = new int[map.experts()];
         this.held = new int[map.ranks()];
@@ -32,10 +36,6 @@
         recompute();
     }
 
-    double[] rankLoad() {
-        return rankLoad.clone();
-    }
-
     boolean holds(int rank, int expert) {
         return holds[rank][expert];
     }
@@ -66,7 +66,6 @@
 
     /** Returns the most loaded rank's load over the mean, 1 where there is no load. */
     double skew() {
-        double total = Arrays.stream(rankLoad).sum();
         return total <= 0 ? 1 : rankLoad[hottest()] * rankLoad.length / total;
     }
 
@@ -75,7 +74,6 @@
      * of them are equal and the maximum alone would not move.
      */
     double smoothSkew() {
-        double total = Arrays.stream(rankLoad).sum();
         if (total <= 0) {
             return 1;
         }
@@ -125,7 +123,7 @@
         double share = sign * expertLoad[expert] / replicas[expert];
         for (int rank = 0; rank < rankLoad.length; rank++) {
             if (holds[rank][expert]) {
-                rankLoad[rank] += share;
+                rankLoad[rank] += share * rankPace[rank];
             }
         }
     }
--- a/core/src/main/java/org/jasminehub/core/experts/placement/PlacementPlanner.java
+++ b/core/src/main/java/org/jasminehub/core/experts/placement/PlacementPlanner.java
@@ -12,27 +12,30 @@
  * complete change.
  *
  * <pre>{@code
- * PlacementPlan plan = PlacementPlanner.plan(map, expertLoad, limits);
+ * PlacementPlan plan = PlacementPlanner.plan(map, expertLoad, rankPace, limits);
  * }</pre>
  */
 public final class PlacementPlanner {
     /** Below this a layer is as good as balanced: the counts that it is judged by are no more exact. */
     private static final double BALANCED_SKEW = 1.04;
 
+    /** A gain below this is rounding. */
+    private static final double MIN_GAIN = 1e-9;
+
     private final PlacementLimits limits;
     private final LayerLoad[] layers;
     private final ReplicaMap map;
     private final int[] copies;
     private final int[][] newInLayer;
 
-    private PlacementPlanner(ReplicaMap map, double[][] expertLoad, PlacementLimits limits) {
+    private PlacementPlanner(ReplicaMap map, double[][] expertLoad, double[] rankPace, PlacementLimits limits) {
         this.map = map;
         this.limits = limits;
         this.copies = new int[map.ranks()];
         this.newInLayer = new int[map.layers()][map.ranks()];
         this.layers = new LayerLoad[map.layers()];
         for (int layer = 0; layer < layers.length; layer++) {
-            layers[layer] = new LayerLoad(map, layer, expertLoad[layer]);
+            layers[layer] = new LayerLoad(map, layer, expertLoad[layer], rankPace);
         }
     }
 
@@ -40,10 +43,11 @@
      * Returns the change of {@code map} that pays under {@code expertLoad}, possibly none.
      *
      * @param expertLoad {@code [layer][expert]}: how often each expert is chosen, in any unit
+     * @param rankPace how many times as long each rank's work takes, 1 for a rank that is not slow
      */
-    public static PlacementPlan plan(ReplicaMap map, double[][] expertLoad, PlacementLimits limits) {
-        PlacementPlanner planner = new PlacementPlanner(map, expertLoad, limits);
-        double before = map.skew(expertLoad);
+    public static PlacementPlan plan(ReplicaMap map, double[][] expertLoad, double[] rankPace, PlacementLimits limits) {
+        PlacementPlanner planner = new PlacementPlanner(map, expertLoad, rankPace, limits);
+        double before = map.skew(expertLoad, rankPace);
         boolean[] isDone = new boolean[map.layers()];
         int layer = planner.worst(isDone);
         while (layer >= 0) {
@@ -54,7 +58,7 @@
         }
         ReplicaMap planned = planner.result();
         int copied = Arrays.stream(planner.copies).sum();
-        double after = planned.skew(expertLoad);
+        double after = planned.skew(expertLoad, rankPace);
         boolean isWorth = copied > 0 ? before - after >= limits.minGainPerCopy() * copied : before - after > 0;
         return isWorth ? new PlacementPlan(planned, copied, before, after) : new PlacementPlan(map, 0, before, before);
     }
@@ -77,7 +81,9 @@
             return false;
         }
         best.apply(layers[layer]);
-        note(layer, best.target(), best.expert());
+        if (best.target() != LayerLoad.NONE) {
+            note(layer, best.target(), best.expert());
+        }
         if (best.returned() != LayerLoad.NONE) {
             note(layer, best.source(), best.returned());
         }
@@ -100,6 +106,9 @@
             if (!load.holds(hot, expert) || load.load(expert) <= 0) {
                 continue;
             }
+            if (load.replicas(expert) > 1) {
+                best = better(best, tried(load, before, PlacementMove.drop(hot, expert)));
+            }
             for (int target = 0; target < map.ranks(); target++) {
                 if (target != hot && !load.holds(target, expert) && mayCopy(layer, target, expert)) {
                     best = bestInto(layer, hot, expert, target, before, best);
@@ -114,28 +123,27 @@
         LayerLoad load = layers[layer];
         PlacementMove best = known;
         if (load.heldBy(target) < limits.placesPerRank()) {
-            best = better(best, tried(load, before, hot, expert, target, LayerLoad.NONE, LayerLoad.NONE));
+            best = better(best, tried(load, before, PlacementMove.replicate(hot, expert, target, LayerLoad.NONE)));
+            best = better(best, tried(load, before, PlacementMove.move(hot, expert, target)));
         }
         for (int displaced = 0; displaced < load.experts(); displaced++) {
             if (!load.holds(target, displaced) || displaced == expert) {
                 continue;
             }
             if (load.replicas(displaced) > 1 && load.heldBy(target) >= limits.placesPerRank()) {
-                best = better(best, tried(load, before, hot, expert, target, displaced, LayerLoad.NONE));
+                best = better(best, tried(load, before, PlacementMove.replicate(hot, expert, target, displaced)));
             } else if (load.replicas(displaced) == 1
                     && load.replicas(expert) == 1
                     && load.load(displaced) < load.load(expert)
                     && !load.holds(hot, displaced)
                     && mayCopy(layer, hot, displaced)) {
-                best = better(best, tried(load, before, hot, expert, target, displaced, displaced));
+                best = better(best, tried(load, before, PlacementMove.exchange(hot, expert, target, displaced)));
             }
         }
         return best;
     }
 
-    private static PlacementMove tried(
-            LayerLoad load, double before, int hot, int expert, int target, int displaced, int returned) {
-        PlacementMove move = new PlacementMove(hot, expert, target, displaced, returned, 0);
+    private static PlacementMove tried(LayerLoad load, double before, PlacementMove move) {
         move.apply(load);
         double gain = before - load.smoothSkew();
         move.undo(load);
@@ -143,11 +151,10 @@
     }
 
     private static @Nullable PlacementMove better(@Nullable PlacementMove known, PlacementMove other) {
-        if (other.gain() <= 0) {
+        if (other.gain() <= MIN_GAIN) {
             return known;
         }
-        boolean isBetter = known == null || other.gain() / other.copies() > known.gain() / known.copies();
-        return isBetter ? other : known;
+        return known == null || other.gainPerCopy() > known.gainPerCopy() ? other : known;
     }
 
     /** An expert that the rank has at present costs no copy. */
--- a/core/src/main/java/org/jasminehub/core/experts/placement/ReplicaMap.java
+++ b/core/src/main/java/org/jasminehub/core/experts/placement/ReplicaMap.java
@@ -69,19 +69,19 @@
         return count;
     }
 
-    /** Returns the load of the most loaded rank over the mean, averaged over layers; 1 is balanced. */
-    public double skew(double[][] expertLoad) {
+    /**
+     * Returns the time of the slowest rank over the mean time of ranks that are not slow, averaged over layers; 1 is
+     * balanced.
+     *
+     * @param expertLoad {@code [layer][expert]}: how often each expert is chosen
+     * @param rankPace how many times as long each rank's work takes, 1 for a rank that is not slow
+     */
+    public double skew(double[][] expertLoad, double[] rankPace) {
         double sum = 0;
-        int loaded = 0;
         for (int layer = 0; layer < holdings.length; layer++) {
-            double[] rankLoad = new LayerLoad(this, layer, expertLoad[layer]).rankLoad();
-            double total = Arrays.stream(rankLoad).sum();
-            if (total > 0) {
-                sum += Arrays.stream(rankLoad).max().orElse(0) * rankLoad.length / total;
-                loaded++;
-            }
+            sum += new LayerLoad(this, layer, expertLoad[layer], rankPace).skew();
         }
-        return loaded == 0 ? 1 : sum / loaded;
+        return holdings.length == 0 ? 1 : sum / holdings.length;
     }
 
     /** Returns the experts as lists, {@code [layer][rank]}. */
--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -180,6 +180,7 @@
                 peers.onDirectoryChanged();
             });
             peers.start(dispatcher::drainLines);
+            peers.tellPaces(() -> experts.isActive() ? Optional.of(experts.slowEndpoints()) : Optional.empty());
             experts.start();
             tick();
         });
--- a/gateway/src/main/java/org/jasminehub/gateway/Rehearsal.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/Rehearsal.java
@@ -63,7 +63,7 @@
         entry.start();
         RouteTableAdapter.decode(CONFIGURATION.getBytes(StandardCharsets.UTF_8));
         ReplicaMap map = new ReplicaMap(2, new int[][][] {{{0}, {1}}});
-        PlacementPlanner.plan(map, new double[][] {{3, 1}}, new PlacementLimits(2, 1, 1, 0));
+        PlacementPlanner.plan(map, new double[][] {{3, 1}}, new double[] {1, 1}, new PlacementLimits(2, 1, 1, 0));
         EndpointClient client = entry.client();
         WholeCaller caller = new WholeCaller(client, new EndpointAddress("127.0.0.1", entry.callerPort()), "rehearsal");
         for (int call = 0; call < CALLS; call++) {
--- a/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
@@ -38,6 +38,9 @@
     /** A stream that stops this long goes on elsewhere, before its caller gives up after 2 s. */
     private static final long STREAM_PAUSE_MILLIS = 1_200;
 
+    /** Several passes of a group at its slowest. */
+    private static final long STALL_MILLIS = 500;
+
     private final RunningCall call;
     private final EndpointRecord endpoint;
     private final long startedMillis;
@@ -131,11 +134,21 @@
         if (silenceTimer != null) {
             silenceTimer.cancel(false);
         }
-        silenceTimer = call.dispatcher().after(limitMillis, () -> fail(AttemptEnd.MAY_HAVE_RUN, reason));
+        silenceTimer = call.dispatcher().after(limitMillis, () -> onSilence(reason));
+    }
+
+    /** Engines of a group stand still together; then another one is of no help, and a repeat would only cost work. */
+    private void onSilence(String reason) {
+        if (call.route().kind() == CallKind.STREAMING && call.dispatcher().isStalled(call.service(), STALL_MILLIS)) {
+            watchFor(STALL_MILLIS, reason);
+        } else {
+            fail(AttemptEnd.MAY_HAVE_RUN, reason);
+        }
     }
 
     /** Notes that an event of a stream has come. */
     void onProgress() {
+        call.dispatcher().onProgress(call.service());
         if (call.route().mayRepeat()) {
             watchFor(STREAM_PAUSE_MILLIS, "the stream paused for " + STREAM_PAUSE_MILLIS + " ms");
         }
@@ -155,6 +168,10 @@
             return;
         }
         boolean isStream = isSuccess && call.route().kind() == CallKind.STREAMING;
+        if (call.isHeadSent() && !isStream) {
+            fail(read.isNotRun() ? AttemptEnd.NOT_RUN : AttemptEnd.MAY_HAVE_RUN, "status " + status.code());
+            return;
+        }
         relay = isStream ? new StreamRelay(call, this) : new WholeRelay(call, this);
         relay.begin(status, headers, read);
     }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
@@ -32,6 +32,9 @@
     private static final Comparator<RunningCall> LINE_ORDER =
             Comparator.comparingInt(RunningCall::priority).thenComparingLong(RunningCall::sequence);
 
+    /** Fewer streams than this may all be at one endpoint. */
+    private static final int MIN_STREAMS_TO_JUDGE = 3;
+
     private final EventLoop loop;
     private final Clock clock;
     private final EndpointClient client;
@@ -44,6 +47,7 @@
     private final ConcurrencyLimits concurrency;
     private final Map<String, TreeSet<RunningCall>> lines = new HashMap<>();
     private final Set<RunningCall> running = new HashSet<>();
+    private final Map<String, Long> progressMillis = new HashMap<>();
     private long nextSequence;
 
     /** Creates a dispatcher without calls. */
@@ -141,6 +145,20 @@
         loop.execute(this::drainLines);
     }
 
+    /** Notes that a stream of {@code service} has made progress. */
+    void onProgress(String service) {
+        progressMillis.put(service, clock.monotonicMillis());
+    }
+
+    /** Returns whether no stream of {@code service} has made progress for {@code millis}, though several run here. */
+    boolean isStalled(String service, long millis) {
+        long runningStreams = running.stream()
+                .filter(call -> call.isHeadSent() && call.service().equals(service))
+                .count();
+        return runningStreams >= MIN_STREAMS_TO_JUDGE
+                && clock.monotonicMillis() - progressMillis.getOrDefault(service, 0L) >= millis;
+    }
+
     int openCallsAt(EndpointId endpoint) {
         return loads.openCalls(endpoint);
     }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
@@ -31,6 +31,9 @@
     /** When callers that found no room come back: about the time an answer takes. */
     private static final long BUSY_RETRY_MILLIS = 1_000;
 
+    /** About the time of a pass or two. */
+    private static final long REFUSED_PAUSE_MILLIS = 150;
+
     private static final int LOWEST_PRIORITY = 9;
 
     private final CallContext context;
@@ -214,7 +217,15 @@
                         failed.elapsedMillis(),
                         isRepeated));
         attempt = null;
-        if (isRepeated) {
+        ServiceProfile served = profile();
+        if (isRepeated && end == AttemptEnd.NOT_RUN && served != null && served.engine() != null) {
+            // An engine that refuses is full or its group is forming anew; both need a moment.
+            dispatcher.after(REFUSED_PAUSE_MILLIS, () -> {
+                if (!isDone) {
+                    place();
+                }
+            });
+        } else if (isRepeated) {
             place();
         } else {
             deliverFailure.run();
--- a/gateway/src/main/java/org/jasminehub/gateway/control/PeerExchange.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/PeerExchange.java
@@ -7,9 +7,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.jasminehub.core.balance.BeliefAge;
 import org.jasminehub.core.balance.EndpointLoads;
 import org.jasminehub.core.event.EventSink;
@@ -21,6 +23,7 @@
 import org.jasminehub.gateway.peer.PeerListener;
 import org.jasminehub.wire.generated.ConfigurationCopy;
 import org.jasminehub.wire.generated.EndpointCalls;
+import org.jasminehub.wire.generated.EndpointPace;
 import org.jasminehub.wire.generated.InstanceRecord;
 import org.jasminehub.wire.generated.PeerEcho;
 import org.jasminehub.wire.generated.PeerEnvelope;
@@ -58,6 +61,7 @@
     private final TreeMap<Long, BeliefAge.Moment> sentTokens = new TreeMap<>();
     private final BeliefAge moments;
     private Runnable onLoads = () -> {};
+    private Supplier<Optional<Map<EndpointId, Double>>> paces = Optional::empty;
     private PeerStatus lastSent = PeerStatus.getDefaultInstance();
     private long lastSentMillis;
     private long nextToken = 1;
@@ -89,6 +93,11 @@
         this.moments = new BeliefAge(clock);
     }
 
+    /** Tells the peers from now on which endpoints {@code slow} names, if this instance is the one that knows. */
+    public void tellPaces(Supplier<Optional<Map<EndpointId, Double>>> slow) {
+        paces = slow;
+    }
+
     /** Starts to exchange; {@code newLoads} runs when peers say what they have in hand. */
     public void start(Runnable newLoads) {
         onLoads = newLoads;
@@ -203,6 +212,14 @@
                 .forEach((endpoint, calls) -> status.addCalls(EndpointCalls.newBuilder()
                         .setEndpointHash(endpoint.value().hashCode())
                         .setCalls(calls)));
+        paces.get().ifPresent(slow -> {
+            loads.onPaces(slow);
+            status.setHasPaces(true);
+            new TreeMap<>(slow)
+                    .forEach((endpoint, pace) -> status.addPaces(EndpointPace.newBuilder()
+                            .setEndpointHash(endpoint.value().hashCode())
+                            .setPace(pace)));
+        });
         return status.build();
     }
 
@@ -256,14 +273,25 @@
     private void takeLoads(String name, PeerStatus status) {
         Map<Integer, Integer> callsByHash = new HashMap<>();
         status.getCallsList().forEach(calls -> callsByHash.put(calls.getEndpointHash(), calls.getCalls()));
+        Map<Integer, Double> pacesByHash = new HashMap<>();
+        status.getPacesList().forEach(pace -> pacesByHash.put(pace.getEndpointHash(), pace.getPace()));
         Map<EndpointId, Integer> calls = new HashMap<>();
+        Map<EndpointId, Double> slow = new HashMap<>();
         endpoints.all().forEach(endpoint -> {
-            Integer count = callsByHash.get(endpoint.id().value().hashCode());
+            int hash = endpoint.id().value().hashCode();
+            Integer count = callsByHash.get(hash);
             if (count != null) {
                 calls.put(endpoint.id(), count);
             }
+            Double pace = pacesByHash.get(hash);
+            if (pace != null) {
+                slow.put(endpoint.id(), pace);
+            }
         });
         loads.onPeerLoads(name, calls);
+        if (status.getHasPaces()) {
+            loads.onPaces(slow);
+        }
         onLoads.run();
     }
 
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/ExpertCoordinator.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/ExpertCoordinator.java
@@ -9,6 +9,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.jasminehub.core.event.EventSink;
+import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.serving.EndpointRecord;
 import org.jasminehub.core.serving.ExpertLayout;
 import org.jasminehub.core.serving.GroupSeat;
@@ -34,8 +35,14 @@
     /** Agents take a coordinator for gone after some missed watches. */
     private static final long WATCH_INTERVAL_MILLIS = 400;
 
+    /** Below this a rank is as fast as the others for all that its report tells. */
+    private static final double SLOW_PACE = 1.2;
+
     private static final long TICK_MILLIS = 50;
 
+    /** An instance that is not responsible takes over within this time after the others know. */
+    private static final long IDLE_TICK_MILLIS = 250;
+
     private final EventLoop loop;
     private final Clock clock;
     private final DelayedRunner timer;
@@ -93,7 +100,28 @@
             groups.forEach(this::substitute);
             groups.values().forEach(GroupPlacement::advance);
         }
-        timer.runAfter(TICK_MILLIS, this::start);
+        timer.runAfter(isNow ? TICK_MILLIS : IDLE_TICK_MILLIS, this::start);
+    }
+
+    /** Returns whether this instance places experts. */
+    public boolean isActive() {
+        return wasResponsible;
+    }
+
+    /** Returns how slow the engines say they are, for those that say they are slow. */
+    public Map<EndpointId, Double> slowEndpoints() {
+        Map<EndpointId, Double> slow = new HashMap<>();
+        for (EndpointRecord endpoint : endpoints.get()) {
+            GroupSeat seat = endpoint.seat();
+            GroupPlacement group = seat == null ? null : groups.get(seat.group());
+            if (seat != null && group != null) {
+                double pace = group.paces().getOrDefault(seat.rank(), 1.0);
+                if (pace >= SLOW_PACE) {
+                    slow.put(endpoint.id(), pace);
+                }
+            }
+        }
+        return slow;
     }
 
     private void connect() {
@@ -200,7 +228,7 @@
 
         @Override
         public void onClosed(PeerConnection connection) {
-            groups.values().forEach(group -> group.onAgentLost(messenger));
+            // The rank's last word stands until it is too old; a change that is open is finished without the agent.
         }
 
         @Override
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/GroupPlacement.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/GroupPlacement.java
@@ -70,6 +70,8 @@
     private long baseVersion;
     private long mapInUse = -1;
     private long lastPlanned = -1;
+    private long lastStep = -1;
+    private long lastStepMillis;
 
     GroupPlacement(String name, Clock clock, EventSink events, Supplier<ExpertLayout> layout) {
         this.name = name;
@@ -108,10 +110,6 @@
         }
     }
 
-    void onAgentLost(RankMessenger connection) {
-        seats.values().removeIf(seat -> seat.isServedBy(connection));
-    }
-
     /**
      * Returns the ranks that nobody speaks for although the group is in the middle of a change, which must not stay
      * there: a step that is held stops the whole group.
@@ -121,9 +119,7 @@
         List<RankSeat> fresh = seats.values().stream()
                 .filter(seat -> seat.heardMillis() >= fromMillis)
                 .toList();
-        boolean isInChange = fresh.stream()
-                .anyMatch(
-                        seat -> seat.status().getHeldStep() > 0 || seat.status().getArmedVersion() > 0);
+        boolean isInChange = seats.values().stream().anyMatch(RankSeat::isInChange) || isStalled(fresh);
         int size = fresh.stream()
                 .mapToInt(seat -> seat.status().getGroupSize())
                 .max()
@@ -138,6 +134,27 @@
                 .toList();
     }
 
+    /** A group that has work and begins no step may be held at a rank that cannot be heard. */
+    private boolean isStalled(List<RankSeat> fresh) {
+        long step =
+                fresh.stream().mapToLong(seat -> seat.status().getStep()).max().orElse(0);
+        boolean hasWork = fresh.stream().anyMatch(seat -> seat.status().getRunning() > 0);
+        if (step != lastStep || !hasWork) {
+            lastStep = step;
+            lastStepMillis = clock.monotonicMillis();
+        }
+        return clock.monotonicMillis() - lastStepMillis >= SILENT_MILLIS;
+    }
+
+    /** Returns how slow each rank says it is, 1 where it says nothing, by rank. */
+    Map<Integer, Double> paces() {
+        Map<Integer, Double> paces = new TreeMap<>();
+        seats.values()
+                .forEach(
+                        seat -> paces.put(seat.rank(), Math.max(1, seat.status().getPace())));
+        return paces;
+    }
+
     /** Gives the orders that are due, or plans a change where none runs. */
     void advance() {
         List<RankView> views = freshViews();
@@ -237,9 +254,12 @@
         if (choices < MIN_CHOICES_PER_EXPERT * experts.layers() * experts.experts()) {
             return;
         }
+        double[] paces =
+                paces().values().stream().mapToDouble(Double::doubleValue).toArray();
         PlacementPlan plan = PlacementPlanner.plan(
                 current,
                 load,
+                paces,
                 new PlacementLimits(
                         experts.placesPerRank(), experts.sparePlaces(), COPIES_PER_RANK, MIN_GAIN_PER_COPY));
         if (plan.skewBefore() - plan.skewAfter() < MIN_GAIN) {
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/RankAgent.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/RankAgent.java
@@ -30,7 +30,10 @@
  */
 final class RankAgent {
     /** The engine is on the same machine and its report costs it nothing. */
-    private static final long REPORT_INTERVAL_MILLIS = 60;
+    private static final long REPORT_INTERVAL_MILLIS = 100;
+
+    /** While a copy runs its end is awaited, since the whole change waits for the last rank. */
+    private static final long COPYING_INTERVAL_MILLIS = 30;
 
     /** Coordinators plan a few times a second; reading counts more often would only cost bytes. */
     private static final long COUNTS_INTERVAL_MILLIS = 200;
@@ -53,6 +56,7 @@
     private boolean isUnreadable;
     private boolean hasFreshCounts;
     private String holdingsKey = "";
+    private long preparing;
 
     /** Creates an agent of the engine that {@code engine} calls. */
     RankAgent(EventLoop loop, Clock clock, WholeCaller engine, EventSink events) {
@@ -71,7 +75,8 @@
         if (!watchers.isEmpty()) {
             refresh();
         }
-        loop.schedule(this::tick, REPORT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        boolean isCopying = status.getPreparedVersion() < preparing;
+        loop.schedule(this::tick, isCopying ? COPYING_INTERVAL_MILLIS : REPORT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Reads the engine's report and passes it on. */
@@ -102,6 +107,9 @@
                 .setRunning(report.running())
                 .setWaiting(report.waiting())
                 .setPace(report.pace());
+        if (view.epoch() != status.getEpoch()) {
+            preparing = 0;
+        }
         String key = view.epoch() + "/" + view.mapVersion() + "/" + report.startedWallMillis();
         if (!key.equals(holdingsKey)) {
             next.clearLayers();
@@ -219,6 +227,9 @@
     private void give(RankMessenger connection, RankOrderRequest request, long step) {
         RankOrder order =
                 new RankOrder(status.getRank(), RankOrders.kindOf(request.getKind()), request.getVersion(), step);
+        if (order.kind() == RankOrder.Kind.PREPARE) {
+            preparing = order.version();
+        }
         EngineCall call = EngineAdapter.order(order, request.getEpoch(), RankOrders.mapOf(request));
         engine.call(call.method(), call.uri(), EngineCall.CONTENT_TYPE, call.body(), ORDER_TIMEOUT_MILLIS)
                 .handle((answer, failure) -> failure == null ? answer.status() : 0)
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/RankSeat.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/RankSeat.java
@@ -37,10 +37,6 @@
         return counts;
     }
 
-    boolean isServedBy(RankMessenger other) {
-        return connection == other;
-    }
-
     void onStatus(RankMessenger from, RankStatus next, long nowMillis) {
         boolean isAnew =
                 next.getEpoch() != status.getEpoch() || next.getStartedWallMillis() != status.getStartedWallMillis();
@@ -56,6 +52,13 @@
         }
     }
 
+    /** Returns whether the rank is armed or holds a step by its last word, or may since an order that is open. */
+    boolean isInChange() {
+        RankOrder given = open;
+        boolean mayBe = given != null && (given.kind() == RankOrder.Kind.HOLD || given.kind() == RankOrder.Kind.ARM);
+        return mayBe || status.getHeldStep() > 0 || status.getArmedVersion() > 0;
+    }
+
     void onPrepareTaken(long version) {
         prepareTaken = Math.max(prepareTaken, version);
     }
--- a/gateway/src/main/java/org/jasminehub/gateway/telemetry/QueuedEvents.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/telemetry/QueuedEvents.java
@@ -22,7 +22,7 @@
  * <p>Safe for use by several threads.
  */
 public final class QueuedEvents implements EventSink, AutoCloseable {
-    /** The writer looks this often; it writes what has come in one go, which costs one wake-up. */
+    /** The writer lets lines gather for this long, so that many of them cost one wake-up. */
     private static final long WRITE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
 
     /** Part of the queue that normal events may fill; the rest is for failures. */
@@ -65,6 +65,16 @@
             return;
         }
         waiting.add(new TimedEvent(event, clock.wallMillis()));
+        if (waiting.size() == 1) {
+            notifyAll();
+        }
+    }
+
+    /** Blocks until there is something to write, or the queue is closed. */
+    private synchronized void awaitEvent() throws InterruptedException {
+        while (waiting.isEmpty() && !isClosed) {
+            wait();
+        }
     }
 
     private synchronized List<TimedEvent> take() {
@@ -84,18 +94,27 @@
     private void write() {
         boolean isLast = false;
         while (!isLast) {
+            try {
+                awaitEvent();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
             isLast = isClosed;
-            take().forEach(timed -> next.emitAt(timed.event(), timed.wallMillis()));
             if (!isLast) {
                 LockSupport.parkNanos(WRITE_INTERVAL_NANOS);
             }
+            take().forEach(timed -> next.emitAt(timed.event(), timed.wallMillis()));
         }
     }
 
     /** Writes what waits, for as long as that takes but not for more than a moment. */
     @Override
     public void close() {
-        isClosed = true;
+        synchronized (this) {
+            isClosed = true;
+            notifyAll();
+        }
         LockSupport.unpark(writer);
         try {
             writer.join(CLOSE_MILLIS);
