Give the order to hold a step from the coordinator itself

Cause: a machine that has just given an order may freeze for seconds, and an engine whose side machine stands still does not answer at its registered address either (trial: calls to that rank went unanswered for the whole freeze, while the group went on). So an agent that gave the hold takes the held rank out of reach with it. Ruled out: arming without a hold and holding only when an arm is not confirmed (all processes may be killed between two arms, and the group would step on two maps); a shorter margin (the freeze comes with the order). Change: HOLD goes from the coordinator to the engine's registered address; if the coordinator freezes, the next one finds the held rank in reach and completes the change. Peers are heard as gone after 0.9 s instead of 1.2 s.

--- a/gateway/src/main/java/org/jasminehub/gateway/control/PeerExchange.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/PeerExchange.java
@@ -40,10 +40,10 @@
     private static final long STATUS_INTERVAL_MILLIS = 80;
 
     /** A status is sent at least this often, so that peers know this instance alive. */
-    private static final long HEARTBEAT_MILLIS = 320;
+    private static final long HEARTBEAT_MILLIS = 240;
 
-    /** Three heartbeats and a little: an instance that is silent for longer is not offered to callers. */
-    private static final long SILENT_MILLIS = 1_200;
+    /** Several heartbeats: an instance that is silent for longer is not offered to callers. */
+    private static final long SILENT_MILLIS = 900;
 
     private final InstanceRegistration registration;
     private final InstanceDirectory directory;
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/ExpertCoordinator.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/ExpertCoordinator.java
@@ -24,6 +24,7 @@
 import org.jasminehub.wire.generated.InstanceRecord;
 import org.jasminehub.wire.generated.PeerEnvelope;
 import org.jasminehub.wire.generated.RankWatch;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Places the experts of every group while this instance is the one to do so.
@@ -54,7 +55,7 @@
     private final Map<String, GroupPlacement> groups = new HashMap<>();
     private final EndpointClient client;
     private final Supplier<List<EndpointRecord>> endpoints;
-    private final Map<EndpointAddress, RankAgent> substitutes = new HashMap<>();
+    private final Map<EndpointAddress, DirectRank> directRanks = new HashMap<>();
     private boolean wasResponsible;
     private long watchedMillis;
 
@@ -91,7 +92,7 @@
                 links.values().forEach(PeerLink::close);
                 links.clear();
                 groups.clear();
-                substitutes.clear();
+                directRanks.clear();
             }
         }
         if (isNow) {
@@ -143,42 +144,63 @@
 
     /** Speaks to engines directly while a change is open and their agents are silent. */
     private void substitute(String name, GroupPlacement group) {
-        List<Integer> orphaned = group.orphanedRanks();
-        if (orphaned.isEmpty()) {
-            return;
+        for (int rank : group.orphanedRanks()) {
+            DirectRank engine = directRank(name, rank);
+            if (engine != null) {
+                engine.agent().refresh();
+            }
         }
+    }
+
+    private @Nullable RankMessenger directOrders(String name, int rank) {
+        DirectRank engine = directRank(name, rank);
+        return engine == null ? null : engine.orders();
+    }
+
+    private @Nullable DirectRank directRank(String name, int rank) {
+        GroupPlacement group = groups.get(name);
         for (EndpointRecord endpoint : endpoints.get()) {
             GroupSeat seat = endpoint.seat();
-            if (seat != null && seat.group().equals(name) && orphaned.contains(seat.rank())) {
+            if (group != null && seat != null && seat.group().equals(name) && seat.rank() == rank) {
                 EndpointAddress address = new EndpointAddress(endpoint.host(), endpoint.port());
-                substitutes
-                        .computeIfAbsent(address, each -> newSubstitute(each, group))
-                        .refresh();
+                return directRanks.computeIfAbsent(address, each -> newDirectRank(each, name, group));
             }
         }
+        return null;
     }
 
-    private RankAgent newSubstitute(EndpointAddress address, GroupPlacement group) {
+    /** Runs what an agent does in this process; orders go to it, and what it says comes back to the placement. */
+    private DirectRank newDirectRank(EndpointAddress address, String name, GroupPlacement group) {
         RankAgent agent = new RankAgent(loop, clock, new WholeCaller(client, address, "engine"), events);
-        // Orders go to the substitute, and what it says comes back to the group's placement.
         RankMessenger orders = new RankMessenger() {
             @Override
             public void send(PeerEnvelope message) {
-                agent.onMessage(replies(this, group), message);
+                agent.onMessage(replies(this, name, group), message);
             }
         };
         agent.onMessage(
-                replies(orders, group),
+                replies(orders, name, group),
                 PeerEnvelope.newBuilder()
                         .setRankWatch(RankWatch.getDefaultInstance())
                         .build());
-        return agent;
+        return new DirectRank(agent, orders);
     }
 
-    private static RankMessenger replies(RankMessenger orders, GroupPlacement group) {
+    /** An engine that is reached without its agent. */
+    private record DirectRank(RankAgent agent, RankMessenger orders) {}
+
+    private RankMessenger replies(RankMessenger orders, String name, GroupPlacement group) {
         return message -> {
             if (message.hasRankStatus()) {
-                group.onStatus(orders, message.getRankStatus());
+                if (group.orphanedRanks().contains(message.getRankStatus().getRank())) {
+                    events.emit(new ExpertEvent(
+                            ExpertEventKind.ENGINE_REACHED_DIRECTLY,
+                            name,
+                            message.getRankStatus().getEpoch(),
+                            message.getRankStatus().getMapVersion(),
+                            String.valueOf(RankOrders.view(message.getRankStatus()))));
+                }
+                group.onStatus(orders, message.getRankStatus(), true);
             } else if (message.hasRankOrderReply()) {
                 group.onReply(orders, message.getRankOrderReply());
             }
@@ -219,8 +241,9 @@
             if (message.hasRankStatus() && !message.getRankStatus().getGroup().isEmpty()) {
                 groups.computeIfAbsent(
                                 message.getRankStatus().getGroup(),
-                                name -> new GroupPlacement(name, clock, events, layout))
-                        .onStatus(messenger, message.getRankStatus());
+                                name -> new GroupPlacement(
+                                        name, clock, events, layout, rank -> directOrders(name, rank)))
+                        .onStatus(messenger, message.getRankStatus(), false);
             } else if (message.hasRankOrderReply()) {
                 groups.values().forEach(group -> group.onReply(messenger, message.getRankOrderReply()));
             }
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/ExpertEventKind.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/ExpertEventKind.java
@@ -13,6 +13,9 @@
     ORDER_FAILED(8502, Severity.WARNING, "A rank refused an order or did not answer it."),
     /** Coordination began or ended here. */
     COORDINATION_CHANGED(8503, Severity.INFO, "This instance began or ceased to place experts."),
+    /** An engine was reached without its agent. */
+    ENGINE_REACHED_DIRECTLY(
+            8505, Severity.WARNING, "An agent is silent in the middle of a change; its engine answered."),
     /** An engine does not answer its agent. */
     ENGINE_UNREADABLE(8504, Severity.WARNING, "An engine did not answer its agent, or not readably.");
 
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/GroupPlacement.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/GroupPlacement.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.IntFunction;
 import java.util.function.Supplier;
 import java.util.stream.IntStream;
 import org.jasminehub.core.event.EventSink;
@@ -61,6 +62,7 @@
     private final Clock clock;
     private final EventSink events;
     private final Supplier<ExpertLayout> layout;
+    private final IntFunction<@Nullable RankMessenger> direct;
     private final Map<Integer, RankSeat> seats = new TreeMap<>();
     private long nextOrderId = 1;
     private long wantedVersion;
@@ -73,16 +75,23 @@
     private long lastStep = -1;
     private long lastStepMillis;
 
-    GroupPlacement(String name, Clock clock, EventSink events, Supplier<ExpertLayout> layout) {
+    /** Creates a placement; {@code direct} returns a way to a rank's engine without its agent, null where none is known. */
+    GroupPlacement(
+            String name,
+            Clock clock,
+            EventSink events,
+            Supplier<ExpertLayout> layout,
+            IntFunction<@Nullable RankMessenger> direct) {
+        this.direct = direct;
         this.name = name;
         this.clock = clock;
         this.events = events;
         this.layout = layout;
     }
 
-    void onStatus(RankMessenger connection, RankStatus status) {
+    void onStatus(RankMessenger connection, RankStatus status, boolean isDirect) {
         RankSeat seat = seats.computeIfAbsent(status.getRank(), RankSeat::new);
-        seat.onStatus(connection, status, clock.monotonicMillis());
+        seat.onStatus(connection, status, isDirect, clock.monotonicMillis());
         advance();
     }
 
@@ -227,13 +236,17 @@
         List<List<List<Integer>>> lists =
                 order.kind() == RankOrder.Kind.PREPARE && map != null ? map.toLists() : List.of();
         long id = nextOrderId++;
+        // The agent's machine may freeze right after it has given an order, and its engine cannot be reached then. An
+        // engine that holds a step must stay in reach, so this order is given from here.
+        RankMessenger via = order.kind() == RankOrder.Kind.HOLD ? direct.apply(order.rank()) : null;
         seat.send(
                 order,
                 id,
                 clock.monotonicMillis(),
                 PeerEnvelope.newBuilder()
                         .setRankOrderRequest(RankOrders.request(id, order, epoch, lists))
-                        .build());
+                        .build(),
+                via);
     }
 
     private void plan(List<RankView> views, long epoch) {
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/RankAgent.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/RankAgent.java
@@ -83,10 +83,7 @@
     CompletableFuture<Void> refresh() {
         return call(EngineAdapter.report())
                 .thenAccept(answer -> onReport(EngineAdapter.decodeReport(answer.body())))
-                .handle((done, failure) -> {
-                    noteReadable(failure);
-                    return null;
-                });
+                .handle((done, failure) -> null);
     }
 
     private void onReport(EngineReport report) {
@@ -124,37 +121,33 @@
     }
 
     private void readHoldings(String key) {
-        call(EngineAdapter.holdings())
-                .thenAccept(answer -> {
-                    List<List<Integer>> layers = EngineAdapter.decodeHoldings(answer.body());
-                    if (EngineAdapter.decodeHoldingsVersion(answer.body()) != status.getMapVersion()) {
-                        return;
-                    }
-                    RankStatus.Builder next = status.toBuilder().clearLayers();
-                    layers.forEach(
-                            held -> next.addLayers(LayerExperts.newBuilder().addAllExperts(held)));
-                    status = next.build();
-                    holdingsKey = key;
-                    push();
-                })
-                .whenComplete((done, failure) -> noteReadable(failure));
+        call(EngineAdapter.holdings()).thenAccept(answer -> {
+            List<List<Integer>> layers = EngineAdapter.decodeHoldings(answer.body());
+            if (EngineAdapter.decodeHoldingsVersion(answer.body()) != status.getMapVersion()) {
+                return;
+            }
+            RankStatus.Builder next = status.toBuilder().clearLayers();
+            layers.forEach(held -> next.addLayers(LayerExperts.newBuilder().addAllExperts(held)));
+            status = next.build();
+            holdingsKey = key;
+            push();
+        });
     }
 
     private void readCounts() {
-        call(EngineAdapter.counts())
-                .thenAccept(answer -> {
-                    status = status.toBuilder()
-                            .clearExpertCounts()
-                            .addAllExpertCounts(EngineAdapter.decodeCounts(answer.body()))
-                            .build();
-                    hasFreshCounts = true;
-                    push();
-                })
-                .whenComplete((done, failure) -> noteReadable(failure));
+        call(EngineAdapter.counts()).thenAccept(answer -> {
+            status = status.toBuilder()
+                    .clearExpertCounts()
+                    .addAllExpertCounts(EngineAdapter.decodeCounts(answer.body()))
+                    .build();
+            hasFreshCounts = true;
+            push();
+        });
     }
 
     private CompletableFuture<WholeCaller.Answer> call(EngineCall call) {
         return engine.call(call.method(), call.uri(), EngineCall.CONTENT_TYPE, call.body(), ORDER_TIMEOUT_MILLIS)
+                .whenComplete((answer, failure) -> noteReadable(call, failure))
                 .thenApply(answer -> {
                     if (answer.body().length == 0) {
                         throw new RecordRejectedException(call.uri(), "status " + answer.status(), "a body");
@@ -163,7 +156,7 @@
                 });
     }
 
-    private void noteReadable(@Nullable Throwable failure) {
+    private void noteReadable(EngineCall call, @Nullable Throwable failure) {
         boolean was = isUnreadable;
         isUnreadable = failure != null;
         if (failure != null && !was) {
@@ -172,7 +165,7 @@
                     status.getGroup(),
                     status.getEpoch(),
                     0,
-                    String.valueOf(failure.getMessage())));
+                    call.uri() + ": " + failure.getMessage()));
         }
     }
 
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/RankSeat.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/RankSeat.java
@@ -7,11 +7,16 @@
 
 /** One rank as its agent shows it, and the order that it has been given. */
 final class RankSeat {
+    /** Two heartbeats of an agent. */
+    private static final long AGENT_SILENT_MILLIS = 500;
+
     private final int rank;
     private final ExpertCounts counts = new ExpertCounts();
     private @Nullable RankMessenger connection;
     private RankStatus status = RankStatus.getDefaultInstance();
     private long heardMillis;
+    private long agentHeardMillis = Long.MIN_VALUE / 2;
+    private @Nullable RankMessenger openVia;
     private @Nullable RankOrder open;
     private long openId;
     private long openMillis;
@@ -37,14 +42,24 @@
         return counts;
     }
 
-    void onStatus(RankMessenger from, RankStatus next, long nowMillis) {
+    /**
+     * Takes what the rank says.
+     *
+     * @param isDirect whether it came from the engine itself; orders still go through the agent while that is heard
+     */
+    void onStatus(RankMessenger from, RankStatus next, boolean isDirect, long nowMillis) {
         boolean isAnew =
                 next.getEpoch() != status.getEpoch() || next.getStartedWallMillis() != status.getStartedWallMillis();
         if (isAnew) {
             prepareTaken = 0;
             counts.clear();
         }
-        connection = from;
+        if (!isDirect) {
+            agentHeardMillis = nowMillis;
+        }
+        if (!isDirect || nowMillis - agentHeardMillis > AGENT_SILENT_MILLIS) {
+            connection = from;
+        }
         heardMillis = nowMillis;
         status = next;
         if (next.getExpertCountsCount() > 0) {
@@ -75,19 +90,21 @@
         return connection != null && !isCopying && !isOpen;
     }
 
-    void send(RankOrder order, long id, long nowMillis, PeerEnvelope message) {
+    /** Gives an order through {@code via}, or through whatever speaks for the rank where that is null. */
+    void send(RankOrder order, long id, long nowMillis, PeerEnvelope message, @Nullable RankMessenger via) {
         open = order;
         openId = id;
         openMillis = nowMillis;
-        if (connection != null) {
-            connection.send(message);
+        openVia = via == null ? connection : via;
+        if (openVia != null) {
+            openVia.send(message);
         }
     }
 
     /** Returns the open order if {@code id} is its, and closes it; null otherwise. */
     @Nullable
     RankOrder takeOrder(RankMessenger from, long id) {
-        if (connection != from || openId != id || open == null) {
+        if (openVia != from || openId != id || open == null) {
             return null;
         }
         RankOrder order = open;
