Hold an absolute step, and pause after a refusal

Ruled out: a larger margin alone (the loop without a pause stays). Change: the step is counted from the newest report of all agents; a refused order waits 100 ms, and each refusal of a hold adds 3 steps to the margin until the next map is in use.

--- a/core/src/main/java/org/jasminehub/core/experts/placement/MapChangePolicy.java
+++ b/core/src/main/java/org/jasminehub/core/experts/placement/MapChangePolicy.java
@@ -120,7 +120,8 @@
                 .min()
                 .orElse(0);
         if (held == 0) {
-            return List.of(new RankOrder(views.get(0).rank(), RankOrder.Kind.HOLD, 0, marginSteps));
+            long newest = views.stream().mapToLong(RankView::step).max().orElse(0);
+            return List.of(new RankOrder(views.get(0).rank(), RankOrder.Kind.HOLD, 0, newest + marginSteps));
         }
         return views.stream()
                 .map(view -> new RankOrder(view.rank(), RankOrder.Kind.ARM, version, held))
--- a/core/src/main/java/org/jasminehub/core/experts/placement/RankOrder.java
+++ b/core/src/main/java/org/jasminehub/core/experts/placement/RankOrder.java
@@ -6,7 +6,7 @@
  * @param rank the rank
  * @param kind what to do
  * @param version the map concerned, 0 where none is
- * @param step the step concerned; for {@link Kind#HOLD} how many steps ahead of the present one
+ * @param step the step concerned, 0 where none is
  */
 public record RankOrder(int rank, Kind kind, long version, long step) {
     /** What a rank is told. */
--- a/core/src/test/java/org/jasminehub/core/experts/placement/MapChangePolicyTest.java
+++ b/core/src/test/java/org/jasminehub/core/experts/placement/MapChangePolicyTest.java
@@ -37,7 +37,7 @@
         void testAStepIsHeldBeforeAnyRankArms() {
             List<RankOrder> orders = next(7, view(0, 0, 7, 0, 0, 0), view(1, 0, 7, 0, 0, 0));
 
-            assertEquals(List.of(new RankOrder(0, RankOrder.Kind.HOLD, 0, MARGIN)), orders);
+            assertEquals(List.of(new RankOrder(0, RankOrder.Kind.HOLD, 0, 10 + MARGIN)), orders);
         }
 
         @Test
@@ -118,11 +118,7 @@
                 wanted = (group.newestVersion() / 8 + 1) * 8 + number;
             }
             for (RankOrder order : MapChangePolicy.nextOrders(seen, wanted, MARGIN)) {
-                RankOrder absolute = order.kind() == RankOrder.Kind.HOLD
-                        ? new RankOrder(
-                                order.rank(), order.kind(), 0, seen.get(0).step() + order.step())
-                        : order;
-                group.give(absolute, seen.get(0).epoch(), lossShare);
+                group.give(order, seen.get(0).epoch(), lossShare);
             }
         }
     }
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/GroupPlacement.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/GroupPlacement.java
@@ -40,8 +40,11 @@
     /** A change that is not prepared by then is planned anew. */
     private static final long CHANGE_TIMEOUT_MILLIS = 5_000;
 
-    /** How far ahead a step is held: one pass ends while the order is on its way, one more while others arm. */
-    private static final long MARGIN_STEPS = 2;
+    /** How far ahead a step is held: what is known of the step may be a pass old, and two pass while orders travel. */
+    private static final long MARGIN_STEPS = 3;
+
+    /** Added to the margin with each refusal, since steps then pass faster than their news arrive. */
+    private static final long MARGIN_GROWTH_STEPS = 3;
 
     /** Copies run one after the other on a rank; one or two fit between two changes of what is in demand. */
     private static final int COPIES_PER_RANK = 1;
@@ -72,6 +75,7 @@
     private long baseVersion;
     private long mapInUse = -1;
     private long lastPlanned = -1;
+    private long marginSteps = MARGIN_STEPS;
     private long lastStep = -1;
     private long lastStepMillis;
 
@@ -109,6 +113,8 @@
                         order.version(),
                         order.kind() + " to rank " + order.rank() + ": status " + reply.getStatus()));
                 boolean isRefused = reply.getStatus() > 0;
+                seat.onRefused(clock.monotonicMillis());
+                marginSteps += order.kind() == RankOrder.Kind.HOLD ? MARGIN_GROWTH_STEPS : 0;
                 if (isRefused && order.kind() == RankOrder.Kind.PREPARE && order.version() == wantedVersion) {
                     wantedVersion = 0;
                 }
@@ -178,10 +184,10 @@
         if (wantedVersion > 0 && isOutdated) {
             wantedVersion = 0;
         }
-        List<RankOrder> orders = MapChangePolicy.nextOrders(views, wantedVersion, MARGIN_STEPS);
+        List<RankOrder> orders = MapChangePolicy.nextOrders(views, wantedVersion, marginSteps);
         if (orders.isEmpty() && wantedVersion == 0 && isSettled(views)) {
             plan(views, epoch);
-            orders = MapChangePolicy.nextOrders(views, wantedVersion, MARGIN_STEPS);
+            orders = MapChangePolicy.nextOrders(views, wantedVersion, marginSteps);
         }
         for (RankOrder order : orders) {
             give(order, epoch);
@@ -193,6 +199,7 @@
         boolean isUniform = views.stream().allMatch(view -> view.mapVersion() == version);
         if (isUniform && version != mapInUse) {
             mapInUse = version;
+            marginSteps = MARGIN_STEPS;
             events.emit(new ExpertEvent(
                     ExpertEventKind.MAP_IN_USE,
                     name,
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/RankAgent.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/RankAgent.java
@@ -17,7 +17,6 @@
 import org.jasminehub.platform.hosted.RecordRejectedException;
 import org.jasminehub.wire.generated.LayerExperts;
 import org.jasminehub.wire.generated.PeerEnvelope;
-import org.jasminehub.wire.generated.RankOrderKind;
 import org.jasminehub.wire.generated.RankOrderReply;
 import org.jasminehub.wire.generated.RankOrderRequest;
 import org.jasminehub.wire.generated.RankStatus;
@@ -199,7 +198,7 @@
                 refresh();
             }
         } else if (message.hasRankOrderRequest()) {
-            onOrder(coordinator, message.getRankOrderRequest());
+            give(coordinator, message.getRankOrderRequest());
         }
     }
 
@@ -208,18 +207,9 @@
         watchers.remove(coordinator);
     }
 
-    private void onOrder(RankMessenger connection, RankOrderRequest request) {
-        if (request.getKind() == RankOrderKind.RANK_HOLD) {
-            // The step to hold is counted from the present one, which only a report of this moment tells.
-            refresh().thenRun(() -> give(connection, request, status.getStep() + request.getStep()));
-        } else {
-            give(connection, request, request.getStep());
-        }
-    }
-
-    private void give(RankMessenger connection, RankOrderRequest request, long step) {
-        RankOrder order =
-                new RankOrder(status.getRank(), RankOrders.kindOf(request.getKind()), request.getVersion(), step);
+    private void give(RankMessenger connection, RankOrderRequest request) {
+        RankOrder order = new RankOrder(
+                status.getRank(), RankOrders.kindOf(request.getKind()), request.getVersion(), request.getStep());
         if (order.kind() == RankOrder.Kind.PREPARE) {
             preparing = order.version();
         }
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/RankSeat.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/RankSeat.java
@@ -10,6 +10,9 @@
     /** Two heartbeats of an agent. */
     private static final long AGENT_SILENT_MILLIS = 500;
 
+    /** About the time in which an agent reads its engine's report again. */
+    private static final long REFUSED_PAUSE_MILLIS = 100;
+
     private final int rank;
     private final ExpertCounts counts = new ExpertCounts();
     private @Nullable RankMessenger connection;
@@ -21,6 +24,7 @@
     private long openId;
     private long openMillis;
     private long prepareTaken;
+    private long refusedMillis = Long.MIN_VALUE / 2;
 
     RankSeat(int rank) {
         this.rank = rank;
@@ -78,6 +82,11 @@
         prepareTaken = Math.max(prepareTaken, version);
     }
 
+    /** Notes that an order was refused or not answered; the next one waits for newer news of the rank. */
+    void onRefused(long nowMillis) {
+        refusedMillis = nowMillis;
+    }
+
     /** Returns the newest version whose copy the rank has begun, as far as known here. */
     long newestPrepared() {
         return prepareTaken;
@@ -87,7 +96,8 @@
     boolean mayOrder(RankOrder order, long nowMillis, long retryMillis) {
         boolean isCopying = order.kind() == RankOrder.Kind.PREPARE && prepareTaken == order.version();
         boolean isOpen = open != null && nowMillis - openMillis < retryMillis;
-        return connection != null && !isCopying && !isOpen;
+        boolean isRefused = nowMillis - refusedMillis < REFUSED_PAUSE_MILLIS;
+        return connection != null && !isCopying && !isOpen && !isRefused;
     }
 
     /** Gives an order through {@code via}, or through whatever speaks for the rank where that is null. */
