Offer callers only instances that were heard

Ruled out: dropping registrations by age (their machines cannot renew them while the store is down). After: tests of two real instances before one store pass.

--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -6,6 +6,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -214,6 +215,15 @@
         return callers == null ? 0 : callers.port();
     }
 
+    /** Returns the names of the instances that callers are sent to; safe on any thread. */
+    List<String> acceptingNames() {
+        return loop.submit(() -> peers.acceptingInstances().stream()
+                        .map(InstanceRecord::getInstance)
+                        .toList())
+                .awaitUninterruptibly()
+                .getNow();
+    }
+
     /** Returns whether the endpoint named {@code id} is known in that state; safe on any thread. */
     boolean knowsEndpoint(String id, boolean isDraining) {
         return loop.submit(() -> endpoints
--- a/gateway/src/main/java/org/jasminehub/gateway/control/PeerExchange.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/PeerExchange.java
@@ -45,6 +45,9 @@
     /** Several heartbeats: an instance that is silent for longer is not offered to callers. */
     private static final long SILENT_MILLIS = 900;
 
+    /** For how long an instance that hears nobody goes by what it heard; callers find out by themselves within that. */
+    private static final long CUT_OFF_MILLIS = 4_000;
+
     private final InstanceRegistration registration;
     private final InstanceDirectory directory;
     private final ConfigurationController configuration;
@@ -128,24 +131,21 @@
         });
     }
 
-    /** Returns the entry instances that callers can be sent to, this one included if it takes callers. */
+    /**
+     * Returns the entry instances that callers can be sent to, this one included if it takes callers. Instances that are
+     * only registered are not among them, since they may have been off for long.
+     */
     public List<InstanceRecord> acceptingInstances() {
+        List<InstanceRecord> heard = acceptingSince(clock.monotonicMillis() - SILENT_MILLIS);
+        // Without a word from anyone it may be this instance that is cut off, so what was heard before holds a while.
+        return heard.isEmpty() ? acceptingSince(clock.monotonicMillis() - CUT_OFF_MILLIS) : heard;
+    }
+
+    private List<InstanceRecord> acceptingSince(long fromMillis) {
         Map<String, InstanceRecord> accepting = new TreeMap<>();
-        long fromMillis = clock.monotonicMillis() - SILENT_MILLIS;
-        boolean hearsAny = peers.values().stream().anyMatch(peer -> peer.heardMillis() >= fromMillis);
-        for (InstanceRecord entry : directory.entries()) {
-            // Without a word from anyone it is this instance that is cut off, so the registrations hold.
-            if (!hearsAny) {
-                accepting.put(entry.getInstance(), entry);
-            }
-        }
         for (PeerView peer : peers.values()) {
-            if (peer.heardMillis() >= fromMillis) {
-                if (peer.acceptsCallers()) {
-                    accepting.put(peer.instance().getInstance(), peer.instance());
-                } else {
-                    accepting.remove(peer.instance().getInstance());
-                }
+            if (peer.heardMillis() >= fromMillis && peer.acceptsCallers()) {
+                accepting.put(peer.instance().getInstance(), peer.instance());
             }
         }
         InstanceRecord self = registration.self();
@@ -153,7 +153,7 @@
         if (acceptsCallers.getAsBoolean()) {
             accepting.put(self.getInstance(), self);
         }
-        return accepting.isEmpty() ? directory.entries() : new ArrayList<>(accepting.values());
+        return new ArrayList<>(accepting.values());
     }
 
     /** Returns whether no live instance that takes callers has a name before this one's. */
--- /dev/null
+++ b/gateway/src/test/java/org/jasminehub/gateway/PeersTest.java
@@ -0,0 +1,101 @@
+package org.jasminehub.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.jasminehub.runtime.time.SystemClock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Two entry instances that share a store and tell each other what they know. */
+final class PeersTest {
+    private static final String CONFIGURATION = """
+            {"version":%d,"routes":[{"name":"r","host":"h.example","path_prefix":"/a/","kind":"safe","timeout_ms":1000,
+            "target_latency_ms":500,"priority":1,"service":"s","attempts":1,"public":true}],
+            "services":[{"name":"s","health_path":"/","connection_limit":4}]}
+            """;
+
+    private final List<EntryProgram> entries = new ArrayList<>();
+    private EventLoop storeLoop;
+    private StoreStandin store;
+
+    @BeforeEach
+    void start() throws IOException {
+        storeLoop = new MultiThreadIoEventLoopGroup(
+                        1, new DefaultThreadFactory("store", true), NioIoHandler.newFactory())
+                .next();
+        store = new StoreStandin(storeLoop);
+        store.put("keyed.op", "config", CONFIGURATION.formatted(1));
+        startEntry("entry-1");
+        startEntry("entry-2");
+    }
+
+    private void startEntry(String name) throws IOException {
+        String any = "127.0.0.1:0";
+        String peers = "127.0.0.1:" + freePort();
+        EntryProgram entry = new EntryProgram(
+                new GatewaySettings(
+                        name, "a", any, any, any, peers, 0, 1, List.of(), store.address(), 5_000, 0.45, 5, 0.2, 60, 10),
+                new SystemClock(),
+                event -> {},
+                new MetricRegistry());
+        entry.start();
+        entries.add(entry);
+    }
+
+    /** Peers find each other by the port that is registered, so it must be known before the start. */
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    @AfterEach
+    void stop() {
+        entries.forEach(EntryProgram::stop);
+        store.close();
+        storeLoop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+
+    private void await(int entry, List<String> accepting) {
+        GatewayHarness.await(() -> entries.get(entry).acceptingNames().equals(accepting));
+    }
+
+    @Test
+    void testEachInstanceOffersBothToCallers() {
+        await(0, List.of("entry-1", "entry-2"));
+        await(1, List.of("entry-1", "entry-2"));
+    }
+
+    @Test
+    void testAnInstanceThatStopsIsNotOfferedAnyMore() {
+        await(1, List.of("entry-1", "entry-2"));
+        entries.get(0).stop();
+
+        await(1, List.of("entry-2"));
+    }
+
+    @Test
+    void testAnInstanceThatIsOnlyRegisteredIsNotOffered() {
+        store.put("keyed.jasminehub-instances", "entry-9", "\n\u0007entry-9\u0012\t127.0.0.9\u0018\u0001\u0020\u0001");
+
+        await(0, List.of("entry-1", "entry-2"));
+        assertEquals(List.of("entry-1", "entry-2"), entries.get(0).acceptingNames());
+    }
+
+    @Test
+    void testKnowledgeOfTheConfigurationStaysYoungThroughAPeerThatReachesTheStore() {
+        await(0, List.of("entry-1", "entry-2"));
+        GatewayHarness.await(() -> entries.get(0).ageMillis() < 300);
+    }
+}
