The last attempt of a call gets all the time that is left

Streams that had been sent before were given up at once when no endpoint had room. Ruled out: a longer limit for silence (the first attempt should move early). Change: silence ends an attempt only if the call may go on elsewhere; a call that was sent before waits up to 1.5 s for a place. Before: the new socket test red. After: green.

--- a/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
@@ -137,8 +137,14 @@
         silenceTimer = call.dispatcher().after(limitMillis, () -> onSilence(reason));
     }
 
-    /** Engines of a group stand still together; then another one is of no help, and a repeat would only cost work. */
+    /**
+     * Engines of a group stand still together; then another one is of no help, and a repeat would only cost work. The
+     * last attempt that a call may make is never given up for silence alone.
+     */
     private void onSilence(String reason) {
+        if (!call.mayRepeatAfterRun()) {
+            return;
+        }
         if (call.route().kind() == CallKind.STREAMING && call.dispatcher().isStalled(call.service(), STALL_MILLIS)) {
             watchFor(STALL_MILLIS, reason);
         } else {
--- a/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
@@ -28,6 +28,9 @@
     /** The part of the target latency that a call may wait in line; the rest is for the endpoint's first answer. */
     private static final double MAX_QUEUED_SHARE = 0.6;
 
+    /** How long a call that was sent before waits for a place: about the time in which an engine finishes a stream. */
+    private static final long MAX_REQUEUED_MILLIS = 1_500;
+
     /** When callers that found no room come back: about the time an answer takes. */
     private static final long BUSY_RETRY_MILLIS = 1_000;
 
@@ -151,8 +154,9 @@
         }
         queuedSinceMillis = dispatcher.clock().monotonicMillis();
         long leftInLineMillis = (long) (route().targetLatencyMillis() * MAX_QUEUED_SHARE) - elapsedMillis();
-        if (isHeadSent) {
-            leftInLineMillis = remainingMillis();
+        if (sends > 0) {
+            // Work has been spent on it, so it waits for a place also when it will be late.
+            leftInLineMillis = Math.min(remainingMillis(), MAX_REQUEUED_MILLIS);
         }
         if (leftInLineMillis <= 0) {
             onLineTimeout();
@@ -200,6 +204,11 @@
         }
     }
 
+    /** Returns whether the call could go on elsewhere if the present attempt were given up now. */
+    boolean mayRepeatAfterRun() {
+        return RepeatPolicy.mayRepeat(route(), AttemptEnd.MAY_HAVE_RUN, runs + 1, sends, remainingMillis());
+    }
+
     /** The present attempt ended without an answer to deliver: goes on elsewhere, or gives up with {@code refusal}. */
     void onAttemptFailed(Attempt failed, AttemptEnd end, String reason, Runnable deliverFailure) {
         runs += end == AttemptEnd.NOT_RUN ? 0 : 1;
--- a/gateway/src/test/java/org/jasminehub/gateway/CallsTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/CallsTest.java
@@ -213,6 +213,20 @@
             assertTrue(gateway.exchange(safe("r-1")).endsWith("late but good"));
         }
 
+        @Test
+        void testTheLastAttemptGetsAllTheTimeThatIsLeft() throws Exception {
+            serveBoth();
+            script.add((request, socket) -> true);
+            script.add((request, socket) -> {
+                // Longer than a first attempt may be silent, and well within the route's time.
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1_000));
+                return ScriptedEndpoint.ok("slow but good").answer(request, socket);
+            });
+
+            assertTrue(gateway.exchange(safe("r-1")).endsWith("slow but good"));
+            assertEquals(2, requests());
+        }
+
         @Test
         void testAFailureWithoutProofIsNotPassedOnAsARefusal() throws Exception {
             serveOne();
