--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -69,6 +69,12 @@
     /** Part of the revocation bound within which knowledge of the configuration is trusted; the rest is margin. */
     private static final double TRUSTED_SHARE = 0.9;
 
+    /** A plain endpoint queues a few calls beside those that it works on; they are short. */
+    private static final double PLAIN_CALLS_PER_SLOT = 3;
+
+    /** A call that an engine queues would come late; it waits here, where another engine may become free. */
+    private static final double ENGINE_CALLS_PER_SLOT = 1;
+
     /** How often both clocks are compared and idle connections closed. */
     private static final long TICK_MILLIS = 200;
 
@@ -145,7 +151,7 @@
                 loads,
                 new EndpointChoicePolicy(loads, new FailureDomain(settings.failureDomain()), random),
                 budget,
-                service -> service == null || service.engine() == null ? 3.0 : 1.0,
+                service -> service == null || service.engine() == null ? PLAIN_CALLS_PER_SLOT : ENGINE_CALLS_PER_SLOT,
                 random,
                 events);
     }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/Refusal.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/Refusal.java
@@ -1,6 +1,14 @@
 package org.jasminehub.gateway.call;
 
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import org.jasminehub.core.error.ErrorCode;
+import org.jasminehub.gateway.net.CallerAnswer;
+import org.jasminehub.platform.hosted.CallHeadersAdapter;
 
 /**
  * A final answer of this system's own.
@@ -11,6 +19,8 @@
  * @param reason for the log line and the answer's text
  */
 public record Refusal(ErrorCode code, int status, long retryAfterMillis, String reason) {
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     /** No time to come back is stated. */
     public static final long NO_RETRY = -1;
 
@@ -25,4 +35,18 @@
     static Refusal later(ErrorCode code, long retryAfterMillis, String reason) {
         return new Refusal(code, code.httpStatus(), retryAfterMillis, reason);
     }
+
+    /** Writes this answer; {@code requestId} is empty where the request had none. */
+    void write(CallerAnswer answer, String requestId) {
+        HttpHeaders headers = new DefaultHttpHeaders(false);
+        headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
+        CallHeadersAdapter.nameRequest(headers, requestId);
+        if (retryAfterMillis >= 0) {
+            headers.set(
+                    HttpHeaderNames.RETRY_AFTER,
+                    String.format(Locale.ROOT, "%.3f", retryAfterMillis / MILLIS_PER_SECOND));
+        }
+        String text = code.code() + ": " + reason + "\n";
+        answer.whole(HttpResponseStatus.valueOf(status), headers, text.getBytes(StandardCharsets.UTF_8));
+    }
 }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
@@ -1,12 +1,7 @@
 package org.jasminehub.gateway.call;
 
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
@@ -20,7 +15,6 @@
 import org.jasminehub.core.serving.WorkspaceGrant;
 import org.jasminehub.gateway.net.CallerAnswer;
 import org.jasminehub.gateway.net.CallerExchange;
-import org.jasminehub.platform.hosted.CallHeadersAdapter;
 import org.jspecify.annotations.Nullable;
 
 /** One call from its admission to its answer, over as many attempts as its route allows. */
@@ -277,18 +271,7 @@
             answer.abort();
             return;
         }
-        HttpHeaders headers = new DefaultHttpHeaders(false);
-        headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
-        if (context.headers != null) {
-            CallHeadersAdapter.nameRequest(headers, context.headers.requestId());
-        }
-        if (stated.retryAfterMillis() >= 0) {
-            headers.set(
-                    HttpHeaderNames.RETRY_AFTER,
-                    String.format(Locale.ROOT, "%.3f", stated.retryAfterMillis() / 1_000.0));
-        }
-        String text = stated.code().code() + ": " + stated.reason() + "\n";
-        answer.whole(HttpResponseStatus.valueOf(stated.status()), headers, text.getBytes(StandardCharsets.UTF_8));
+        stated.write(answer, context.requestId());
     }
 
     /** The answer is delivered. */
