--- a/core/src/main/java/org/jasminehub/core/stream/EventSplitter.java
+++ b/core/src/main/java/org/jasminehub/core/stream/EventSplitter.java
@@ -1,8 +1,8 @@
 package org.jasminehub.core.stream;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 
@@ -20,27 +20,32 @@
 public final class EventSplitter {
     private static final String ID_FIELD = "id:";
 
-    private final ByteArrayOutputStream event = new ByteArrayOutputStream();
-    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private static final int FIRST_BYTES = 256;
+
+    /** The bytes of the event that has begun. */
+    private byte[] event = new byte[FIRST_BYTES];
+
+    private int eventLength;
+    private int lineStart;
     private @Nullable Long id;
 
     /** Takes the next bytes and returns the events that they complete. */
     public List<StreamEvent> take(byte[] bytes) {
         List<StreamEvent> whole = new ArrayList<>();
         for (byte value : bytes) {
-            event.write(value);
+            append(value);
             if (value != '\n') {
-                line.write(value);
                 continue;
             }
-            String text = line.toString(StandardCharsets.UTF_8).stripTrailing();
-            line.reset();
+            String text = new String(event, lineStart, eventLength - lineStart, StandardCharsets.UTF_8).stripTrailing();
+            lineStart = eventLength;
             if (text.startsWith(ID_FIELD)) {
                 id = number(text.substring(ID_FIELD.length()).trim());
             }
             if (text.isEmpty()) {
-                whole.add(new StreamEvent(id, event.toByteArray()));
-                event.reset();
+                whole.add(new StreamEvent(id, Arrays.copyOf(event, eventLength)));
+                eventLength = 0;
+                lineStart = 0;
                 id = null;
             }
         }
@@ -49,7 +54,15 @@
 
     /** Returns whether bytes of an event have come whose end has not. */
     public boolean isInsideEvent() {
-        return event.size() > 0;
+        return eventLength > 0;
+    }
+
+    private void append(byte value) {
+        if (eventLength == event.length) {
+            event = Arrays.copyOf(event, 2 * eventLength);
+        }
+        event[eventLength] = value;
+        eventLength++;
     }
 
     private static @Nullable Long number(String text) {
