Ways to engines without agents in a class of their own

Cause: the coordinator mixed agents, direct ways and pace; while a rank is replaced two endpoints are registered for it and the first one found was taken. Ruled out: keeping the newest registration only (the old one still drains). No other change of behaviour. After: ExpertPlacementTest passes.

--- a/gateway/src/main/java/org/jasminehub/gateway/experts/ExpertCoordinator.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/ExpertCoordinator.java
@@ -17,14 +17,12 @@
 import org.jasminehub.gateway.control.DelayedRunner;
 import org.jasminehub.gateway.net.EndpointAddress;
 import org.jasminehub.gateway.net.EndpointClient;
-import org.jasminehub.gateway.net.WholeCaller;
 import org.jasminehub.gateway.peer.PeerConnection;
 import org.jasminehub.gateway.peer.PeerLink;
 import org.jasminehub.gateway.peer.PeerListener;
 import org.jasminehub.wire.generated.InstanceRecord;
 import org.jasminehub.wire.generated.PeerEnvelope;
 import org.jasminehub.wire.generated.RankWatch;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Places the experts of every group while this instance is the one to do so.
@@ -53,9 +51,8 @@
     private final BooleanSupplier isResponsible;
     private final Map<EndpointAddress, PeerLink> links = new HashMap<>();
     private final Map<String, GroupPlacement> groups = new HashMap<>();
-    private final EndpointClient client;
     private final Supplier<List<EndpointRecord>> endpoints;
-    private final Map<EndpointAddress, DirectRank> directRanks = new HashMap<>();
+    private final DirectRanks directRanks;
     private boolean wasResponsible;
     private long watchedMillis;
 
@@ -76,8 +73,8 @@
         this.events = events;
         this.agents = agents;
         this.layout = layout;
-        this.client = client;
         this.endpoints = endpoints;
+        this.directRanks = new DirectRanks(loop, clock, events, client, endpoints);
         this.isResponsible = isResponsible;
     }
 
@@ -98,7 +95,7 @@
         if (isNow) {
             connect();
             watch();
-            groups.forEach(this::substitute);
+            groups.values().forEach(directRanks::speakFor);
             groups.values().forEach(GroupPlacement::advance);
         }
         timer.runAfter(isNow ? TICK_MILLIS : IDLE_TICK_MILLIS, this::start);
@@ -131,7 +128,7 @@
             wanted.add(new EndpointAddress(agent.getHost(), agent.getPeerPort()));
         }
         for (EndpointAddress address : wanted) {
-            links.computeIfAbsent(address, each -> new PeerLink(loop, each, new AgentListener(each)));
+            links.computeIfAbsent(address, each -> new PeerLink(loop, each, new AgentListener()));
         }
         links.entrySet().removeIf(link -> {
             boolean isUnwanted = !wanted.contains(link.getKey());
@@ -142,71 +139,6 @@
         });
     }
 
-    /** Speaks to engines directly while a change is open and their agents are silent. */
-    private void substitute(String name, GroupPlacement group) {
-        for (int rank : group.orphanedRanks()) {
-            DirectRank engine = directRank(name, rank);
-            if (engine != null) {
-                engine.agent().refresh();
-            }
-        }
-    }
-
-    private @Nullable RankMessenger directOrders(String name, int rank) {
-        DirectRank engine = directRank(name, rank);
-        return engine == null ? null : engine.orders();
-    }
-
-    private @Nullable DirectRank directRank(String name, int rank) {
-        GroupPlacement group = groups.get(name);
-        for (EndpointRecord endpoint : endpoints.get()) {
-            GroupSeat seat = endpoint.seat();
-            if (group != null && seat != null && seat.group().equals(name) && seat.rank() == rank) {
-                EndpointAddress address = new EndpointAddress(endpoint.host(), endpoint.port());
-                return directRanks.computeIfAbsent(address, each -> newDirectRank(each, name, group));
-            }
-        }
-        return null;
-    }
-
-    /** Runs what an agent does in this process; orders go to it, and what it says comes back to the placement. */
-    private DirectRank newDirectRank(EndpointAddress address, String name, GroupPlacement group) {
-        RankAgent agent = new RankAgent(loop, clock, new WholeCaller(client, address, "engine"), events);
-        RankMessenger orders = new RankMessenger() {
-            @Override
-            public void send(PeerEnvelope message) {
-                agent.onMessage(replies(this, name, group), message);
-            }
-        };
-        agent.onMessage(
-                replies(orders, name, group),
-                PeerEnvelope.newBuilder()
-                        .setRankWatch(RankWatch.getDefaultInstance())
-                        .build());
-        return new DirectRank(agent, orders);
-    }
-
-    /** An engine that is reached without its agent. */
-    private record DirectRank(RankAgent agent, RankMessenger orders) {}
-
-    private RankMessenger replies(RankMessenger orders, String name, GroupPlacement group) {
-        return message -> {
-            if (message.hasRankStatus()) {
-                if (group.orphanedRanks().contains(message.getRankStatus().getRank())) {
-                    events.emit(new ExpertEvent(
-                            ExpertEventKind.ENGINE_REACHED_DIRECTLY,
-                            name,
-                            message.getRankStatus().getEpoch(),
-                            message.getRankStatus().getMapVersion(),
-                            String.valueOf(RankOrders.view(message.getRankStatus()))));
-                }
-                group.onStatus(orders, message.getRankStatus(), true);
-            } else if (message.hasRankOrderReply()) {
-                group.onReply(orders, message.getRankOrderReply());
-            }
-        };
-    }
-
     private void watch() {
         if (clock.monotonicMillis() - watchedMillis < WATCH_INTERVAL_MILLIS) {
             return;
@@ -223,13 +155,8 @@
 
     /** Hears one agent. */
     private final class AgentListener implements PeerListener {
-        private final EndpointAddress address;
         private RankMessenger messenger = message -> {};
 
-        AgentListener(EndpointAddress address) {
-            this.address = address;
-        }
-
         @Override
         public void onConnected(PeerConnection connection) {
             messenger = connection::send;
@@ -241,8 +168,7 @@
             if (message.hasRankStatus() && !message.getRankStatus().getGroup().isEmpty()) {
                 groups.computeIfAbsent(
                                 message.getRankStatus().getGroup(),
-                                name -> new GroupPlacement(
-                                        name, clock, events, layout, rank -> directOrders(name, rank)))
+                                name -> new GroupPlacement(name, clock, events, layout, directRanks::orders))
                         .onStatus(messenger, message.getRankStatus(), false);
             } else if (message.hasRankOrderReply()) {
                 groups.values().forEach(group -> group.onReply(messenger, message.getRankOrderReply()));
@@ -253,10 +179,5 @@
         public void onClosed(PeerConnection connection) {
             // The rank's last word stands until it is too old; a change that is open is finished without the agent.
         }
-
-        @Override
-        public String toString() {
-            return address.toString();
-        }
     }
 }
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/GroupPlacement.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/GroupPlacement.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.function.IntFunction;
 import java.util.function.Supplier;
 import java.util.stream.IntStream;
 import org.jasminehub.core.event.EventSink;
@@ -65,7 +64,7 @@
     private final Clock clock;
     private final EventSink events;
     private final Supplier<ExpertLayout> layout;
-    private final IntFunction<@Nullable RankMessenger> direct;
+    private final DirectOrders direct;
     private final Map<Integer, RankSeat> seats = new TreeMap<>();
     private long nextOrderId = 1;
     private long wantedVersion;
@@ -79,13 +78,8 @@
     private long lastStep = -1;
     private long lastStepMillis;
 
-    /** Creates a placement; {@code direct} returns a way to a rank's engine without its agent, null where none is known. */
-    GroupPlacement(
-            String name,
-            Clock clock,
-            EventSink events,
-            Supplier<ExpertLayout> layout,
-            IntFunction<@Nullable RankMessenger> direct) {
+    /** Creates a placement of the group {@code name}, of which nothing is known yet. */
+    GroupPlacement(String name, Clock clock, EventSink events, Supplier<ExpertLayout> layout, DirectOrders direct) {
         this.direct = direct;
         this.name = name;
         this.clock = clock;
@@ -93,6 +87,17 @@
         this.layout = layout;
     }
 
+    /** Finds a way to a rank's engine without its agent, null where none is known. */
+    @FunctionalInterface
+    interface DirectOrders {
+        @Nullable
+        RankMessenger to(GroupPlacement group, int rank);
+    }
+
+    String name() {
+        return name;
+    }
+
     void onStatus(RankMessenger connection, RankStatus status, boolean isDirect) {
         RankSeat seat = seats.computeIfAbsent(status.getRank(), RankSeat::new);
         seat.onStatus(connection, status, isDirect, clock.monotonicMillis());
@@ -245,7 +250,7 @@
         long id = nextOrderId++;
         // The agent's machine may freeze right after it has given an order, and its engine cannot be reached then. An
         // engine that holds a step must stay in reach, so this order is given from here.
-        RankMessenger via = order.kind() == RankOrder.Kind.HOLD ? direct.apply(order.rank()) : null;
+        RankMessenger via = order.kind() == RankOrder.Kind.HOLD ? direct.to(this, order.rank()) : null;
         seat.send(
                 order,
                 id,
