--- a/gateway/src/main/java/org/jasminehub/gateway/Rehearsal.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/Rehearsal.java
@@ -1,7 +1,6 @@
 package org.jasminehub.gateway;
 
 import com.codahale.metrics.MetricRegistry;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -16,6 +15,7 @@
 import org.jasminehub.gateway.telemetry.MeteredEvents;
 import org.jasminehub.gateway.telemetry.QueuedEvents;
 import org.jasminehub.platform.hosted.RouteTableAdapter;
+import org.jasminehub.platform.hosted.SampleConfiguration;
 import org.jasminehub.runtime.log.EventLog;
 
 /**
@@ -27,13 +27,6 @@
     private static final long CALL_TIMEOUT_MILLIS = 2_000;
     private static final int CALLS = 5;
     private static final int LOG_CAPACITY = 100;
-    private static final String CONFIGURATION = """
-            {"version":1,"routes":[{"name":"r","host":"h.example","path_prefix":"/a/","kind":"safe","timeout_ms":100,
-            "target_latency_ms":50,"priority":1,"service":"s","attempts":2,"public":true}],
-            "services":[{"name":"s","health_path":"/","connection_limit":4}],
-            "tenants":[{"name":"t","api_keys":["k"],"priority":1}],
-            "limits":{"header_bytes":1000,"body_bytes":1000,"header_timeout_ms":1000,"idle_timeout_ms":1000}}
-            """;
 
     private Rehearsal() {}
 
@@ -61,7 +54,7 @@
                 10);
         EntryProgram entry = new EntryProgram(settings, clock, events, metrics);
         entry.start();
-        RouteTableAdapter.decode(CONFIGURATION.getBytes(StandardCharsets.UTF_8));
+        RouteTableAdapter.decode(SampleConfiguration.bytes());
         ReplicaMap map = new ReplicaMap(2, new int[][][] {{{0}, {1}}});
         PlacementPlanner.plan(map, new double[][] {{3, 1}}, new double[] {1, 1}, new PlacementLimits(2, 1, 1, 0));
         EndpointClient client = entry.client();
