A hold that an engine has accepted counts at once

Cause: the coordinator gives the hold straight to the engine, but believed it only when the agent's next report showed it, up to 100 ms later. Worse, the report that the direct way read after the hold was older than the agent's and replaced it, so a second hold was ordered and refused, which also widened the margin. The group reached the held step meanwhile and stood still; a pause of a pass makes every open stream late.

Change: a reply to a hold is passed on at once and counts as a report for two report intervals; a report read from afar counts only while the agent is silent. GroupPlacementTest failed in all three cases on the code before.

--- a/core/src/main/java/org/jasminehub/core/experts/placement/RankView.java
+++ b/core/src/main/java/org/jasminehub/core/experts/placement/RankView.java
@@ -22,4 +22,9 @@
         long preparedVersion,
         long armedVersion,
         long armedStep,
-        long heldStep) {}
+        long heldStep) {
+    /** Returns the same view with {@code step} held. */
+    public RankView withHeldStep(long step) {
+        return new RankView(rank, epoch, isOpen, this.step, mapVersion, preparedVersion, armedVersion, armedStep, step);
+    }
+}
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/GroupPlacement.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/GroupPlacement.java
@@ -125,6 +125,10 @@
                 }
             } else if (order.kind() == RankOrder.Kind.PREPARE) {
                 seat.onPrepareTaken(order.version());
+            } else if (order.kind() == RankOrder.Kind.HOLD) {
+                seat.onHoldTaken(order.step(), clock.monotonicMillis());
+            } else if (order.kind() == RankOrder.Kind.RELEASE) {
+                seat.onReleaseTaken();
             }
             advance();
         }
@@ -230,7 +234,7 @@
                 return List.of();
             }
             size = Math.max(size, seat.status().getGroupSize());
-            views.add(RankOrders.view(seat.status()));
+            views.add(seat.view(clock.monotonicMillis()));
         }
         long epoch = views.isEmpty() ? 0 : views.get(0).epoch();
         boolean isWhole = size > 0
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/RankAgent.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/RankAgent.java
@@ -216,15 +216,26 @@
         EngineCall call = EngineAdapter.order(order, request.getEpoch(), RankOrders.mapOf(request));
         engine.call(call.method(), call.uri(), EngineCall.CONTENT_TYPE, call.body(), ORDER_TIMEOUT_MILLIS)
                 .handle((answer, failure) -> failure == null ? answer.status() : 0)
-                .thenAccept(code -> refresh().thenRun(() -> {
-                    sent = RankStatus.getDefaultInstance();
-                    push();
-                    connection.send(PeerEnvelope.newBuilder()
-                            .setRankOrderReply(RankOrderReply.newBuilder()
-                                    .setOrderId(request.getOrderId())
-                                    .setStatus(code))
-                            .build());
-                }));
+                .thenAccept(code -> {
+                    if (order.kind() == RankOrder.Kind.HOLD) {
+                        // All other ranks must be armed before the step is due: the reply does not wait for a report.
+                        reply(connection, request, code);
+                        return;
+                    }
+                    refresh().thenRun(() -> {
+                        sent = RankStatus.getDefaultInstance();
+                        push();
+                        reply(connection, request, code);
+                    });
+                });
+    }
+
+    private static void reply(RankMessenger connection, RankOrderRequest request, int code) {
+        connection.send(PeerEnvelope.newBuilder()
+                .setRankOrderReply(RankOrderReply.newBuilder()
+                        .setOrderId(request.getOrderId())
+                        .setStatus(code))
+                .build());
     }
 
     private long nowMillis() {
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/RankSeat.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/RankSeat.java
@@ -1,6 +1,7 @@
 package org.jasminehub.gateway.experts;
 
 import org.jasminehub.core.experts.placement.RankOrder;
+import org.jasminehub.core.experts.placement.RankView;
 import org.jasminehub.wire.generated.PeerEnvelope;
 import org.jasminehub.wire.generated.RankStatus;
 import org.jspecify.annotations.Nullable;
@@ -13,6 +14,9 @@
     /** About the time in which an agent reads its engine's report again. */
     private static final long REFUSED_PAUSE_MILLIS = 100;
 
+    /** Two reports of an agent: by then its status shows a hold that the engine has accepted. */
+    private static final long HOLD_SHOWN_MILLIS = 250;
+
     private final int rank;
     private final ExpertCounts counts = new ExpertCounts();
     private @Nullable RankMessenger connection;
@@ -25,6 +29,8 @@
     private long openMillis;
     private long prepareTaken;
     private long refusedMillis = Long.MIN_VALUE / 2;
+    private long heldStep;
+    private long heldSinceMillis;
 
     RankSeat(int rank) {
         this.rank = rank;
@@ -49,21 +55,24 @@
     /**
      * Takes what the rank says.
      *
-     * @param isDirect whether it came from the engine itself; orders still go through the agent while that is heard
+     * @param isDirect whether it was read from afar. Such a report is older than the agent's, so it counts only while
+     *     the agent is silent.
      */
     void onStatus(RankMessenger from, RankStatus next, boolean isDirect, long nowMillis) {
+        if (isDirect && nowMillis - agentHeardMillis <= AGENT_SILENT_MILLIS) {
+            return;
+        }
         boolean isAnew =
                 next.getEpoch() != status.getEpoch() || next.getStartedWallMillis() != status.getStartedWallMillis();
         if (isAnew) {
             prepareTaken = 0;
+            heldStep = 0;
             counts.clear();
         }
         if (!isDirect) {
             agentHeardMillis = nowMillis;
         }
-        if (!isDirect || nowMillis - agentHeardMillis > AGENT_SILENT_MILLIS) {
-            connection = from;
-        }
+        connection = from;
         heardMillis = nowMillis;
         status = next;
         if (next.getExpertCountsCount() > 0) {
@@ -71,11 +80,31 @@
         }
     }
 
+    /**
+     * Returns what the rank said last, with a hold that its engine has accepted since: other ranks must be armed before
+     * the step is due, and the next status comes later than that.
+     */
+    RankView view(long nowMillis) {
+        RankView said = RankOrders.view(status);
+        boolean isShown = said.heldStep() > 0 || said.step() >= heldStep;
+        return isShown || nowMillis - heldSinceMillis > HOLD_SHOWN_MILLIS ? said : said.withHeldStep(heldStep);
+    }
+
+    void onHoldTaken(long step, long nowMillis) {
+        heldStep = step;
+        heldSinceMillis = nowMillis;
+    }
+
+    void onReleaseTaken() {
+        heldStep = 0;
+    }
+
     /** Returns whether the rank is armed or holds a step by its last word, or may since an order that is open. */
     boolean isInChange() {
         RankOrder given = open;
         boolean mayBe = given != null && (given.kind() == RankOrder.Kind.HOLD || given.kind() == RankOrder.Kind.ARM);
-        return mayBe || status.getHeldStep() > 0 || status.getArmedVersion() > 0;
+        boolean isHeld = status.getHeldStep() > 0 || heldStep > status.getStep();
+        return mayBe || isHeld || status.getArmedVersion() > 0;
     }
 
     void onPrepareTaken(long version) {
--- /dev/null
+++ b/gateway/src/test/java/org/jasminehub/gateway/experts/GroupPlacementTest.java
@@ -0,0 +1,117 @@
+package org.jasminehub.gateway.experts;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.jasminehub.core.serving.ExpertLayout;
+import org.jasminehub.core.time.ManualClock;
+import org.jasminehub.wire.generated.LayerExperts;
+import org.jasminehub.wire.generated.RankOrderKind;
+import org.jasminehub.wire.generated.RankOrderReply;
+import org.jasminehub.wire.generated.RankOrderRequest;
+import org.jasminehub.wire.generated.RankStatus;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** The orders of one group's placement, from scripted reports and replies. */
+final class GroupPlacementTest {
+    private static final int SIZE = 2;
+    private static final long STEP = 100;
+    private static final long PREPARED = 4096;
+    private static final int OK = 200;
+    private static final ExpertLayout LAYOUT = new ExpertLayout(1, 2, 2, 1, 1, 0.85);
+
+    private final ManualClock clock = new ManualClock(1_000_000);
+    private final List<RankOrderRequest> direct = new ArrayList<>();
+    private final List<List<RankOrderRequest>> viaAgent = List.of(new ArrayList<>(), new ArrayList<>());
+    private final List<RankMessenger> agents = List.of(recorder(viaAgent.get(0)), recorder(viaAgent.get(1)));
+    private final RankMessenger directMessenger = recorder(direct);
+    private GroupPlacement placement;
+
+    private static RankMessenger recorder(List<RankOrderRequest> orders) {
+        return message -> orders.add(message.getRankOrderRequest());
+    }
+
+    private static RankStatus.Builder status(int rank) {
+        return RankStatus.newBuilder()
+                .setGroup("g")
+                .setGroupSize(SIZE)
+                .setRank(rank)
+                .setEpoch(1)
+                .setIsOpen(true)
+                .setStep(STEP)
+                .setPreparedVersion(PREPARED)
+                .addLayers(LayerExperts.newBuilder().addExperts(rank));
+    }
+
+    private static List<RankOrderKind> kinds(List<RankOrderRequest> orders) {
+        return orders.stream().map(RankOrderRequest::getKind).toList();
+    }
+
+    private void reply(RankMessenger from, RankOrderRequest order) {
+        placement.onReply(
+                from,
+                RankOrderReply.newBuilder()
+                        .setOrderId(order.getOrderId())
+                        .setStatus(OK)
+                        .build());
+    }
+
+    @BeforeEach
+    void reportAllPrepared() {
+        placement = new GroupPlacement("g", clock, event -> {}, () -> LAYOUT, (group, rank) -> directMessenger);
+        for (int rank = 0; rank < SIZE; rank++) {
+            placement.onStatus(agents.get(rank), status(rank).build(), false);
+        }
+    }
+
+    @Nested
+    final class AfterAnAcceptedHold {
+        @BeforeEach
+        void acceptHold() {
+            assertEquals(List.of(RankOrderKind.RANK_HOLD), kinds(direct));
+            clock.advanceMillis(5);
+            reply(directMessenger, direct.get(0));
+        }
+
+        @Test
+        void testEveryRankIsArmedBeforeTheNextReport() {
+            for (List<RankOrderRequest> orders : viaAgent) {
+                assertEquals(List.of(RankOrderKind.RANK_ARM), kinds(orders));
+                assertEquals(direct.get(0).getStep(), orders.get(0).getStep());
+            }
+        }
+
+        @Test
+        void testAnOldReportReadFromAfarDoesNotHoldAnotherStep() {
+            clock.advanceMillis(5);
+            placement.onStatus(directMessenger, status(0).build(), true);
+            clock.advanceMillis(300);
+            for (int rank = 0; rank < SIZE; rank++) {
+                placement.onStatus(
+                        agents.get(rank),
+                        status(rank)
+                                .setArmedVersion(PREPARED)
+                                .setArmedStep(direct.get(0).getStep())
+                                .setHeldStep(rank == 0 ? direct.get(0).getStep() : 0)
+                                .build(),
+                        false);
+            }
+            placement.onStatus(directMessenger, status(0).build(), true);
+
+            assertEquals(List.of(RankOrderKind.RANK_HOLD), kinds(direct));
+            assertEquals(List.of(RankOrderKind.RANK_ARM, RankOrderKind.RANK_RELEASE), kinds(viaAgent.get(0)));
+        }
+
+        @Test
+        void testAHoldThatNoReportShowsIsNotBelievedForLong() {
+            clock.advanceMillis(300);
+            placement.onStatus(agents.get(0), status(0).build(), false);
+            placement.onStatus(agents.get(1), status(1).build(), false);
+
+            assertEquals(List.of(RankOrderKind.RANK_HOLD, RankOrderKind.RANK_HOLD), kinds(direct));
+        }
+    }
+}
