What engines run follows the pace of streams; the line refuses what cannot be in time

Refused callers all came back after the same second.

Ruled out: the change of map itself, which is in force 0.9 s after a shift.

Change: StreamPaceLimit bounds the calls for each slot by the pauses of open streams; WaitingLinePolicy refuses at once a call that the line cannot serve in twice the time it may wait, and names a time to come back from the line's speed, spread. Both are pure and have tests that replay their load; ServiceLine keeps what belongs to one service's line.

--- a/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
@@ -47,6 +47,7 @@
     private @Nullable Exchange exchange;
     private @Nullable ScheduledFuture<?> silenceTimer;
     private @Nullable AnswerRelay relay;
+    private long eventMillis = -1;
     private boolean isOver;
 
     Attempt(RunningCall call, EndpointRecord endpoint) {
@@ -102,7 +103,7 @@
     /** Ends the attempt without a word on the endpoint: the call is over. */
     void cancel() {
         if (close()) {
-            call.dispatcher().onAttemptCancelled(endpoint.id());
+            call.dispatcher().onAttemptCancelled(call.service(), endpoint.id());
         }
     }
 
@@ -154,7 +155,9 @@
 
     /** Notes that an event of a stream has come. */
     void onProgress() {
-        call.dispatcher().onProgress(call.service());
+        long nowMillis = call.dispatcher().clock().monotonicMillis();
+        call.dispatcher().onProgress(call.service(), eventMillis < 0 ? -1 : nowMillis - eventMillis);
+        eventMillis = nowMillis;
         if (call.route().mayRepeat()) {
             watchFor(STREAM_PAUSE_MILLIS, "the stream paused for " + STREAM_PAUSE_MILLIS + " ms");
         }
@@ -205,7 +208,7 @@
     /** The answer was delivered. */
     void succeed(int status) {
         if (close()) {
-            call.dispatcher().onAttemptEnded(endpoint.id(), true);
+            call.dispatcher().onAttemptEnded(call.service(), endpoint.id(), true);
             call.onServed(status);
         }
     }
@@ -218,7 +221,7 @@
     /** The attempt failed; {@code deliverFailure} answers if the call is not repeated. */
     void fail(AttemptEnd end, String reason, Runnable deliverFailure) {
         if (close()) {
-            call.dispatcher().onAttemptEnded(endpoint.id(), false);
+            call.dispatcher().onAttemptEnded(call.service(), endpoint.id(), false);
             call.onAttemptFailed(this, end, reason, deliverFailure);
         }
     }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
@@ -2,23 +2,24 @@
 
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.jasminehub.core.balance.EndpointChoicePolicy;
 import org.jasminehub.core.balance.EndpointLoads;
 import org.jasminehub.core.balance.RepeatBudget;
+import org.jasminehub.core.balance.StreamPaceLimit;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.serving.EndpointRecord;
+import org.jasminehub.core.serving.EngineProfile;
+import org.jasminehub.core.serving.ServiceProfile;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.gateway.control.EndpointController;
 import org.jasminehub.gateway.net.EndpointClient;
@@ -29,9 +30,6 @@
  * <p>Used on the process's event loop only.
  */
 public final class CallDispatcher {
-    private static final Comparator<RunningCall> LINE_ORDER =
-            Comparator.comparingInt(RunningCall::priority).thenComparingLong(RunningCall::sequence);
-
     /** Fewer streams than this may all be at one endpoint. */
     private static final int MIN_STREAMS_TO_JUDGE = 3;
 
@@ -45,9 +43,8 @@
     private final RandomGenerator random;
     private final EventSink events;
     private final ConcurrencyLimits concurrency;
-    private final Map<String, TreeSet<RunningCall>> lines = new HashMap<>();
+    private final Map<String, ServiceLine> lines = new HashMap<>();
     private final Set<RunningCall> running = new HashSet<>();
-    private final Map<String, Long> progressMillis = new HashMap<>();
     private long nextSequence;
 
     /** Creates a dispatcher without calls. */
@@ -81,13 +78,13 @@
 
     /** Takes the calls in line as far as endpoints have room for them. */
     public void drainLines() {
-        for (TreeSet<RunningCall> line : lines.values()) {
-            for (RunningCall call : new ArrayList<>(line)) {
+        for (ServiceLine line : new ArrayList<>(lines.values())) {
+            for (RunningCall call : line.inOrder()) {
                 Optional<EndpointRecord> endpoint = choose(call);
                 if (endpoint.isEmpty()) {
                     break;
                 }
-                line.remove(call);
+                line.leave(call);
                 call.send(endpoint.get());
             }
         }
@@ -100,37 +97,64 @@
 
     void onDone(RunningCall call) {
         running.remove(call);
-        TreeSet<RunningCall> line = lines.get(call.service());
-        if (line != null) {
-            line.remove(call);
-        }
+        line(call.service()).leave(call);
     }
 
     /** Returns an endpoint with room for the call, empty where none has. */
     Optional<EndpointRecord> choose(RunningCall call) {
         List<EndpointRecord> serving = endpoints.serving(call.service());
-        return choice.choose(serving, call.tried(), concurrency.maxCallsPerSlot(call.profile()));
+        return choice.choose(serving, call.tried(), maxCallsPerSlot(call, serving));
+    }
+
+    private double maxCallsPerSlot(RunningCall call, List<EndpointRecord> serving) {
+        ServiceProfile profile = call.profile();
+        double limit = concurrency.maxCallsPerSlot(profile);
+        EngineProfile engine = profile == null ? null : profile.engine();
+        if (engine == null) {
+            return limit;
+        }
+        double open = 0;
+        double slots = 0;
+        for (EndpointRecord endpoint : serving) {
+            open += loads.openCalls(endpoint.id());
+            slots += endpoint.slots();
+        }
+        StreamPaceLimit pace = line(call.service()).pace();
+        return Math.min(limit, pace.callsPerSlot(engine, call.route().maxPauseMillis(), open / Math.max(1, slots)));
+    }
+
+    private ServiceLine line(String service) {
+        return lines.computeIfAbsent(service, each -> new ServiceLine(clock));
     }
 
     boolean hasEndpoints(String service) {
         return !endpoints.serving(service).isEmpty();
     }
 
+    /** Returns whether a call may get a place within {@code leftMillis}. */
+    boolean mayWait(RunningCall call, long leftMillis) {
+        return line(call.service()).mayWait(call, leftMillis);
+    }
+
     void waitInLine(RunningCall call) {
-        lines.computeIfAbsent(call.service(), service -> new TreeSet<>(LINE_ORDER))
-                .add(call);
+        line(call.service()).join(call);
     }
 
     int waiting(String service) {
-        TreeSet<RunningCall> line = lines.get(service);
-        return line == null ? 0 : line.size();
+        return line(service).length();
+    }
+
+    /** Returns when a caller that was refused for want of a place should come back. */
+    long returnMillis(String service) {
+        return line(service).returnMillis(random.nextDouble());
     }
 
     void onSent(EndpointId endpoint) {
         loads.onSent(endpoint);
     }
 
-    void onAttemptEnded(EndpointId endpoint, boolean isSuccess) {
+    void onAttemptEnded(String service, EndpointId endpoint, boolean isSuccess) {
+        line(service).onPlaceFreed();
         loads.onEnded(endpoint);
         if (isSuccess) {
             loads.onSuccess(endpoint);
@@ -140,14 +164,19 @@
         loop.execute(this::drainLines);
     }
 
-    void onAttemptCancelled(EndpointId endpoint) {
+    void onAttemptCancelled(String service, EndpointId endpoint) {
+        line(service).onPlaceFreed();
         loads.onEnded(endpoint);
         loop.execute(this::drainLines);
     }
 
-    /** Notes that a stream of {@code service} has made progress. */
-    void onProgress(String service) {
-        progressMillis.put(service, clock.monotonicMillis());
+    /**
+     * Notes that a stream of {@code service} has made progress.
+     *
+     * @param pauseMillis the time since its last event, negative for its first one
+     */
+    void onProgress(String service, long pauseMillis) {
+        line(service).onProgress(pauseMillis);
     }
 
     /** Returns whether no stream of {@code service} has made progress for {@code millis}, though several run here. */
@@ -155,8 +184,7 @@
         long runningStreams = running.stream()
                 .filter(call -> call.isHeadSent() && call.service().equals(service))
                 .count();
-        return runningStreams >= MIN_STREAMS_TO_JUDGE
-                && clock.monotonicMillis() - progressMillis.getOrDefault(service, 0L) >= millis;
+        return runningStreams >= MIN_STREAMS_TO_JUDGE && line(service).millisSinceProgress() >= millis;
     }
 
     int openCallsAt(EndpointId endpoint) {
--- a/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
@@ -25,8 +25,8 @@
     /** How long a call that was sent before waits for a place: about the time in which an engine finishes a stream. */
     private static final long MAX_REQUEUED_MILLIS = 1_500;
 
-    /** When callers that found no room come back: about the time an answer takes. */
-    private static final long BUSY_RETRY_MILLIS = 1_000;
+    /** When callers of a service without endpoints come back: registrations are read again within that. */
+    private static final long NO_ENDPOINT_RETRY_MILLIS = 1_000;
 
     /** About the time of a pass or two. */
     private static final long REFUSED_PAUSE_MILLIS = 150;
@@ -138,7 +138,8 @@
 
     private void place() {
         if (!dispatcher.hasEndpoints(service())) {
-            finishRefused(Refusal.later(ErrorCode.NO_ENDPOINT, BUSY_RETRY_MILLIS, "no endpoint of " + service()));
+            finishRefused(
+                    Refusal.later(ErrorCode.NO_ENDPOINT, NO_ENDPOINT_RETRY_MILLIS, "no endpoint of " + service()));
             return;
         }
         Optional<EndpointRecord> endpoint = dispatcher.choose(this);
@@ -152,7 +153,7 @@
             // Work has been spent on it, so it waits for a place also when it will be late.
             leftInLineMillis = Math.min(remainingMillis(), MAX_REQUEUED_MILLIS);
         }
-        if (leftInLineMillis <= 0) {
+        if (sends == 0 && !dispatcher.mayWait(this, leftInLineMillis)) {
             onLineTimeout();
             return;
         }
@@ -186,7 +187,7 @@
         if (!isDone) {
             finishRefused(Refusal.later(
                     ErrorCode.OVERLOADED,
-                    BUSY_RETRY_MILLIS,
+                    dispatcher.returnMillis(service()),
                     "no endpoint of " + service() + " had room in time; " + dispatcher.waiting(service())
                             + " calls in line"));
         }
@@ -238,7 +239,7 @@
     /** Answers with a failure of this system's own. */
     void giveUp(AttemptEnd end, String reason) {
         if (end == AttemptEnd.NOT_RUN && runs == 0) {
-            finishRefused(Refusal.later(ErrorCode.OVERLOADED, BUSY_RETRY_MILLIS, reason));
+            finishRefused(Refusal.later(ErrorCode.OVERLOADED, dispatcher.returnMillis(service()), reason));
         } else {
             finishRefused(Refusal.of(ErrorCode.ENDPOINT_FAILED, reason));
         }
@@ -260,7 +261,8 @@
             stated = Refusal.of(ErrorCode.ENDPOINT_FAILED, refusal.reason());
         }
         if (!mayHaveRun && refusal.code() == ErrorCode.DEADLINE_EXCEEDED) {
-            stated = Refusal.later(ErrorCode.DEADLINE_UNREACHABLE, BUSY_RETRY_MILLIS, refusal.reason());
+            stated =
+                    Refusal.later(ErrorCode.DEADLINE_UNREACHABLE, dispatcher.returnMillis(service()), refusal.reason());
         }
         end(
                 CallEventKind.CALL_REFUSED,
