The margin of a held step in a class of its own; a caller's pause is not an engine's

GroupPlacement held the margin's rules among planning; and the pauses that bound how many calls run also counted the time in which a slow caller did not read.

Change: HoldMargin; a stream that is not read starts its pauses anew.

--- a/core/src/main/java/org/jasminehub/core/experts/placement/DemandWindow.java
+++ b/core/src/main/java/org/jasminehub/core/experts/placement/DemandWindow.java
@@ -62,7 +62,7 @@
      * @param choices how often each expert was chosen, layer by layer
      */
     public void add(long nowMillis, long[] choices) {
-        Checks.that(choices.length == layers * experts, "choices", choices.length + " counts", layers * experts + "");
+        Checks.that(choices.length == size(), "choices", choices.length, size() + " counts");
         if (nowMillis - open.startMillis() >= BUCKET_MILLIS) {
             closed.addLast(open);
             open = new Bucket(nowMillis, new double[layers][experts]);
--- a/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
@@ -95,6 +95,10 @@
     }
 
     void setReading(boolean isReading) {
+        if (!isReading) {
+            // The pause that follows is the caller's and tells nothing of the endpoint.
+            eventMillis = -1;
+        }
         if (exchange != null) {
             exchange.setReading(isReading);
         }
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/GroupPlacement.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/GroupPlacement.java
@@ -37,21 +37,9 @@
     /** An order that was not answered in this time is given again; agents give up on the engine before. */
     private static final long ORDER_RETRY_MILLIS = 260;
 
-    /** Added to the margin while orders get lost: about the time in which a lost one is noticed and given again. */
-    private static final long LOST_ORDER_STEPS = 3;
-
-    /** Orders that get lost do so for some seconds. */
-    private static final long LOST_ORDER_MILLIS = 5_000;
-
     /** A change that is not prepared by then is planned anew. */
     private static final long CHANGE_TIMEOUT_MILLIS = 5_000;
 
-    /** How far ahead a step is held: the next one may begin while the order travels, the one after it does not. */
-    private static final long MARGIN_STEPS = 2;
-
-    /** Added to the margin with each refusal, since steps then pass faster than their news arrive. */
-    private static final long MARGIN_GROWTH_STEPS = 3;
-
     /** Copies run one after the other on a rank; one or two fit between two changes of what is in demand. */
     private static final int COPIES_PER_RANK = 1;
 
@@ -72,6 +60,7 @@
     private final EventSink events;
     private final Supplier<ExpertLayout> layout;
     private final DirectOrders direct;
+    private final HoldMargin margin;
     private final Map<Integer, RankSeat> seats = new TreeMap<>();
     private @Nullable DemandWindow demand;
     private long nextOrderId = 1;
@@ -82,8 +71,6 @@
     private long baseVersion;
     private long mapInUse = -1;
     private long lastPlanned = -1;
-    private long marginSteps = MARGIN_STEPS;
-    private long orderLostMillis = Long.MIN_VALUE / 2;
     private long lastStep = -1;
     private long lastStepMillis;
 
@@ -94,6 +81,7 @@
         this.clock = clock;
         this.events = events;
         this.layout = layout;
+        this.margin = new HoldMargin(clock);
     }
 
     /** Finds a way to a rank's engine without its agent, null where none is known. */
@@ -144,9 +132,11 @@
                 if (isRefused) {
                     seat.onRefused(clock.monotonicMillis());
                 } else {
-                    orderLostMillis = clock.monotonicMillis();
+                    margin.onOrderLost();
+                }
+                if (order.kind() == RankOrder.Kind.HOLD) {
+                    margin.onHoldFailed();
                 }
-                marginSteps += order.kind() == RankOrder.Kind.HOLD ? MARGIN_GROWTH_STEPS : 0;
                 if (isRefused && order.kind() == RankOrder.Kind.PREPARE && order.version() == wantedVersion) {
                     wantedVersion = 0;
                 }
@@ -221,21 +211,16 @@
         if (wantedVersion > 0 && isOutdated) {
             wantedVersion = 0;
         }
-        List<RankOrder> orders = MapChangePolicy.nextOrders(views, wantedVersion, marginSteps());
+        List<RankOrder> orders = MapChangePolicy.nextOrders(views, wantedVersion, margin.steps());
         if (orders.isEmpty() && wantedVersion == 0 && isSettled(views)) {
             plan(views, epoch);
-            orders = MapChangePolicy.nextOrders(views, wantedVersion, marginSteps());
+            orders = MapChangePolicy.nextOrders(views, wantedVersion, margin.steps());
         }
         for (RankOrder order : orders) {
             give(order, epoch);
         }
     }
 
-    private long marginSteps() {
-        boolean areOrdersLost = clock.monotonicMillis() - orderLostMillis < LOST_ORDER_MILLIS;
-        return areOrdersLost ? marginSteps + LOST_ORDER_STEPS : marginSteps;
-    }
-
     /** What is being copied answers a demand that has passed; copies for the present one cannot begin too soon. */
     private boolean isOvertaken(List<RankView> views) {
         DemandWindow window = demand;
@@ -250,7 +235,7 @@
         boolean isUniform = views.stream().allMatch(view -> view.mapVersion() == version);
         if (isUniform && version != mapInUse) {
             mapInUse = version;
-            marginSteps = MARGIN_STEPS;
+            margin.reset();
             events.emit(new ExpertEvent(
                     ExpertEventKind.MAP_IN_USE,
                     name,
