An address belongs to the endpoint that started last; a group that refuses is left alone

All engines were replaced while their registrations stood, so half of the calls went to engines that are gone (161 answers 421); each call tried several engines of a group that was forming anew, which used up the budget for repeats; and failures counted for the line's speed, so that refused callers came back too soon and were refused again.

Ruled out: readiness before registrations were known; expert maps.

--- a/core/src/main/java/org/jasminehub/core/balance/AttemptEnd.java
+++ b/core/src/main/java/org/jasminehub/core/balance/AttemptEnd.java
@@ -4,8 +4,15 @@
 public enum AttemptEnd {
     /** The endpoint has not run the call and never will. */
     NOT_RUN,
+    /** Another endpoint answers at the address; it has not run the call and never will. */
+    MISDIRECTED,
     /** The endpoint may have run the call. */
     MAY_HAVE_RUN,
     /** The endpoint ran the call and failed. */
-    FAILED
+    FAILED;
+
+    /** Returns whether the call has not run at that endpoint and never will. */
+    public boolean isNotRun() {
+        return this == NOT_RUN || this == MISDIRECTED;
+    }
 }
--- a/core/src/main/java/org/jasminehub/core/balance/RepeatPolicy.java
+++ b/core/src/main/java/org/jasminehub/core/balance/RepeatPolicy.java
@@ -27,6 +27,6 @@
         if (remainingMillis < MIN_REMAINING_MILLIS || sends >= MAX_SENDS || runs >= route.maxAttempts()) {
             return false;
         }
-        return end == AttemptEnd.NOT_RUN || route.mayRepeat();
+        return end.isNotRun() || route.mayRepeat();
     }
 }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
@@ -160,7 +160,7 @@
     /** Notes that an event of a stream has come. */
     void onProgress() {
         long nowMillis = call.dispatcher().clock().monotonicMillis();
-        call.dispatcher().onProgress(call.service(), eventMillis < 0 ? -1 : nowMillis - eventMillis);
+        call.dispatcher().onProgress(call.service(), endpoint, eventMillis < 0 ? -1 : nowMillis - eventMillis);
         eventMillis = nowMillis;
         if (call.route().mayRepeat()) {
             watchFor(STREAM_PAUSE_MILLIS, "the stream paused for " + STREAM_PAUSE_MILLIS + " ms");
@@ -212,7 +212,7 @@
     /** The answer was delivered. */
     void succeed(int status) {
         if (close()) {
-            call.dispatcher().onAttemptEnded(call.service(), endpoint.id(), true);
+            call.dispatcher().onAttemptServed(call.service(), endpoint.id());
             call.onServed(status);
         }
     }
@@ -225,7 +225,7 @@
     /** The attempt failed; {@code deliverFailure} answers if the call is not repeated. */
     void fail(AttemptEnd end, String reason, Runnable deliverFailure) {
         if (close()) {
-            call.dispatcher().onAttemptEnded(call.service(), endpoint.id(), false);
+            call.dispatcher().onAttemptFailed(endpoint, end);
             call.onAttemptFailed(this, end, reason, deliverFailure);
         }
     }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
@@ -11,14 +11,17 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.jasminehub.core.balance.AttemptEnd;
 import org.jasminehub.core.balance.EndpointChoicePolicy;
 import org.jasminehub.core.balance.EndpointLoads;
+import org.jasminehub.core.balance.GroupPauses;
 import org.jasminehub.core.balance.RepeatBudget;
 import org.jasminehub.core.balance.StreamPaceLimit;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.serving.EndpointRecord;
 import org.jasminehub.core.serving.EngineProfile;
+import org.jasminehub.core.serving.GroupSeat;
 import org.jasminehub.core.serving.ServiceProfile;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.gateway.control.EndpointController;
@@ -44,6 +47,7 @@
     private final EventSink events;
     private final ConcurrencyLimits concurrency;
     private final Map<String, ServiceLine> lines = new HashMap<>();
+    private final GroupPauses pauses;
     private final Set<RunningCall> running = new HashSet<>();
     private long nextSequence;
 
@@ -69,6 +73,7 @@
         this.concurrency = concurrency;
         this.random = random;
         this.events = events;
+        this.pauses = new GroupPauses(clock);
     }
 
     /** Returns how many calls are open. */
@@ -102,7 +107,10 @@
 
     /** Returns an endpoint with room for the call, empty where none has. */
     Optional<EndpointRecord> choose(RunningCall call) {
-        List<EndpointRecord> serving = endpoints.serving(call.service());
+        List<EndpointRecord> serving = endpoints.serving(call.service()).stream()
+                .filter(endpoint -> endpoint.seat() == null
+                        || !pauses.isPaused(endpoint.seat().group()))
+                .toList();
         return choice.choose(serving, call.tried(), maxCallsPerSlot(call, serving));
     }
 
@@ -153,13 +161,19 @@
         loads.onSent(endpoint);
     }
 
-    void onAttemptEnded(String service, EndpointId endpoint, boolean isSuccess) {
+    void onAttemptServed(String service, EndpointId endpoint) {
         line(service).onPlaceFreed();
         loads.onEnded(endpoint);
-        if (isSuccess) {
-            loads.onSuccess(endpoint);
-        } else {
-            loads.onFailure(endpoint);
+        loads.onSuccess(endpoint);
+        loop.execute(this::drainLines);
+    }
+
+    void onAttemptFailed(EndpointRecord endpoint, AttemptEnd end) {
+        loads.onEnded(endpoint.id());
+        loads.onFailure(endpoint.id());
+        GroupSeat seat = endpoint.seat();
+        if (end == AttemptEnd.NOT_RUN && seat != null && pauses.onRefused(seat.group())) {
+            after(GroupPauses.PAUSE_MILLIS, this::drainLines);
         }
         loop.execute(this::drainLines);
     }
@@ -171,12 +185,15 @@
     }
 
     /**
-     * Notes that a stream of {@code service} has made progress.
+     * Notes that a stream of {@code service} at {@code endpoint} has made progress.
      *
      * @param pauseMillis the time since its last event, negative for its first one
      */
-    void onProgress(String service, long pauseMillis) {
+    void onProgress(String service, EndpointRecord endpoint, long pauseMillis) {
         line(service).onProgress(pauseMillis);
+        if (endpoint.seat() != null) {
+            pauses.onProgress(endpoint.seat().group());
+        }
     }
 
     /** Returns whether no stream of {@code service} has made progress for {@code millis}, though several run here. */
--- a/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
@@ -206,7 +206,7 @@
 
     /** The present attempt ended without an answer to deliver: goes on elsewhere, or gives up with {@code refusal}. */
     void onAttemptFailed(Attempt failed, AttemptEnd end, String reason, Runnable deliverFailure) {
-        runs += end == AttemptEnd.NOT_RUN ? 0 : 1;
+        runs += end.isNotRun() ? 0 : 1;
         boolean isRepeated =
                 RepeatPolicy.mayRepeat(route(), end, runs, sends, remainingMillis()) && dispatcher.tryRepeat(service());
         dispatcher
@@ -238,7 +238,7 @@
 
     /** Answers with a failure of this system's own. */
     void giveUp(AttemptEnd end, String reason) {
-        if (end == AttemptEnd.NOT_RUN && runs == 0) {
+        if (end.isNotRun() && runs == 0) {
             finishRefused(Refusal.later(ErrorCode.OVERLOADED, dispatcher.returnMillis(service()), reason));
         } else {
             finishRefused(Refusal.of(ErrorCode.ENDPOINT_FAILED, reason));
--- a/gateway/src/main/java/org/jasminehub/gateway/call/WholeRelay.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/WholeRelay.java
@@ -60,7 +60,10 @@
     @Override
     public void end() {
         if (isNotRun) {
-            attempt.fail(AttemptEnd.NOT_RUN, "refused with status " + status.code());
+            boolean isMisdirected = status.code() == HttpResponseStatus.MISDIRECTED_REQUEST.code();
+            attempt.fail(
+                    isMisdirected ? AttemptEnd.MISDIRECTED : AttemptEnd.NOT_RUN,
+                    "refused with status " + status.code());
         } else if (status.codeClass() == HttpStatusClass.SERVER_ERROR && !call.isHeadSent()) {
             attempt.fail(AttemptEnd.FAILED, "failed with status " + status.code(), this::deliver);
         } else {
--- a/gateway/src/main/java/org/jasminehub/gateway/control/EndpointController.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/EndpointController.java
@@ -1,6 +1,5 @@
 package org.jasminehub.gateway.control;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -8,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.jasminehub.core.balance.EndpointRoster;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.serving.EndpointRecord;
@@ -190,14 +190,7 @@
     }
 
     private void publish() {
-        Map<String, List<EndpointRecord>> next = new HashMap<>();
-        for (EndpointRecord endpoint : endpoints.values()) {
-            if (!endpoint.isDraining()) {
-                next.computeIfAbsent(endpoint.service(), service -> new ArrayList<>())
-                        .add(endpoint);
-            }
-        }
-        servingByService = next;
+        servingByService = EndpointRoster.serving(endpoints.values());
         onChanged.run();
     }
 }
