A caller that came back waits longer, behind those that can still be in time

Change: WaitingLinePolicy gives a call whose time is shorter than the route's by more than the target latency a quarter of that time, 1.5 s at most; such calls follow the others in line; 2 s to come back where nothing moves. Tests beside the policy.

--- a/core/src/main/java/org/jasminehub/core/balance/WaitingLinePolicy.java
+++ b/core/src/main/java/org/jasminehub/core/balance/WaitingLinePolicy.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.jasminehub.core.internal.Checks;
+import org.jasminehub.core.serving.Route;
 import org.jasminehub.core.time.Clock;
 
 /**
@@ -27,8 +28,17 @@
     /** The longest: an engine that crashed is back in a few seconds. */
     private static final long MAX_RETURN_MILLIS = 3_000;
 
-    /** Where nothing ended of late: about the time an answer takes. */
-    private static final long USUAL_RETURN_MILLIS = 1_000;
+    /** Where nothing ended of late: about the time in which a group of engines forms anew. */
+    private static final long STALLED_RETURN_MILLIS = 2_000;
+
+    /** The part of the target latency that a call may wait; the rest is for the endpoint's first answer. */
+    private static final double WAITING_SHARE = 0.6;
+
+    /** The part of the time it has left that a caller who came back may wait: it is late in any case. */
+    private static final double RETURNED_SHARE = 0.25;
+
+    /** The longest such wait: about the time in which an engine finishes a stream. */
+    private static final long MAX_RETURNED_WAIT_MILLIS = 1_500;
 
     /** Times to come back differ by this part, so that callers refused together return one after the other. */
     private static final double SPREAD = 0.3;
@@ -47,6 +57,25 @@
         forgetOld();
     }
 
+    /**
+     * Returns whether a caller has come back after a refusal: it allowed the route's whole time when it came first.
+     *
+     * @param allowedMillis the time that the call had when it arrived, at most the route's
+     */
+    public static boolean hasReturned(Route route, long allowedMillis) {
+        return allowedMillis < route.timeoutMillis() - route.targetLatencyMillis();
+    }
+
+    /**
+     * Returns how long a call may wait for a place, counted from its arrival. One that has come back has missed its
+     * target; it may wait longer, since a second refusal is often the last.
+     */
+    public static long waitMillis(Route route, long allowedMillis) {
+        return hasReturned(route, allowedMillis)
+                ? (long) Math.min(MAX_RETURNED_WAIT_MILLIS, RETURNED_SHARE * allowedMillis)
+                : (long) (WAITING_SHARE * route.targetLatencyMillis());
+    }
+
     /**
      * Returns whether a call may get a place in time.
      *
@@ -71,7 +100,7 @@
     public long returnMillis(int waiting, double position) {
         Checks.inRange("position", position, 0, 1);
         forgetOld();
-        double millis = endings.isEmpty() ? USUAL_RETURN_MILLIS : expectedMillis(waiting);
+        double millis = endings.isEmpty() ? STALLED_RETURN_MILLIS : expectedMillis(waiting);
         double spread = 1 + SPREAD * (2 * position - 1);
         return Math.round(Math.max(MIN_RETURN_MILLIS, Math.min(MAX_RETURN_MILLIS, millis)) * spread);
     }
--- a/core/src/test/java/org/jasminehub/core/balance/WaitingLinePolicyTest.java
+++ b/core/src/test/java/org/jasminehub/core/balance/WaitingLinePolicyTest.java
@@ -6,8 +6,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import org.jasminehub.core.error.InvalidArgumentException;
+import org.jasminehub.core.serving.CallKind;
+import org.jasminehub.core.serving.Route;
+import org.jasminehub.core.serving.WeightedService;
 import org.jasminehub.core.time.ManualClock;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -94,4 +98,44 @@
             assertThrows(InvalidArgumentException.class, () -> policy.returnMillis(1, 2));
         }
     }
+
+    @Nested
+    final class Patience {
+        private static final long TIMEOUT_MILLIS = 8_000;
+        private static final long TARGET_MILLIS = 500;
+
+        private final Route route = new Route(
+                "r",
+                "h",
+                "/",
+                CallKind.STREAMING,
+                TIMEOUT_MILLIS,
+                TARGET_MILLIS,
+                120,
+                1,
+                List.of(new WeightedService("s", 1)),
+                2,
+                false,
+                true);
+
+        @Test
+        void testACallWaitsOnlyAsLongAsItCanStillBeInTime() {
+            assertFalse(WaitingLinePolicy.hasReturned(route, TIMEOUT_MILLIS));
+            assertTrue(WaitingLinePolicy.waitMillis(route, TIMEOUT_MILLIS) < TARGET_MILLIS);
+        }
+
+        @Test
+        void testACallerThatCameBackWaitsLongerButNotForever() {
+            long allowedMillis = 6_500;
+
+            assertTrue(WaitingLinePolicy.hasReturned(route, allowedMillis));
+            assertTrue(WaitingLinePolicy.waitMillis(route, allowedMillis) > TARGET_MILLIS);
+            assertTrue(WaitingLinePolicy.waitMillis(route, allowedMillis) < allowedMillis / 3);
+        }
+
+        @Test
+        void testACallerWithLittleTimeLeftIsNotHeldForIt() {
+            assertTrue(WaitingLinePolicy.waitMillis(route, 400) <= 100);
+        }
+    }
 }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ScheduledFuture;
 import org.jasminehub.core.balance.AttemptEnd;
 import org.jasminehub.core.balance.RepeatPolicy;
+import org.jasminehub.core.balance.WaitingLinePolicy;
 import org.jasminehub.core.error.ErrorCode;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.serving.EndpointRecord;
@@ -19,9 +20,6 @@
 
 /** One call from its admission to its answer, over as many attempts as its route allows. */
 final class RunningCall implements CallerExchange {
-    /** The part of the target latency that a call may wait in line; the rest is for the endpoint's first answer. */
-    private static final double MAX_QUEUED_SHARE = 0.6;
-
     /** How long a call that was sent before waits for a place: about the time in which an engine finishes a stream. */
     private static final long MAX_REQUEUED_MILLIS = 1_500;
 
@@ -112,6 +110,15 @@
         return sequence;
     }
 
+    /** Returns whether the caller was refused before and is late in any case. */
+    boolean hasReturned() {
+        return WaitingLinePolicy.hasReturned(route(), allowedMillis());
+    }
+
+    private long allowedMillis() {
+        return context.deadlineMillis - context.arrivedMillis;
+    }
+
     long remainingMillis() {
         return context.deadlineMillis - dispatcher.clock().monotonicMillis();
     }
@@ -148,7 +155,7 @@
             return;
         }
         queuedSinceMillis = dispatcher.clock().monotonicMillis();
-        long leftInLineMillis = (long) (route().targetLatencyMillis() * MAX_QUEUED_SHARE) - elapsedMillis();
+        long leftInLineMillis = WaitingLinePolicy.waitMillis(route(), allowedMillis()) - elapsedMillis();
         if (sends > 0) {
             // Work has been spent on it, so it waits for a place also when it will be late.
             leftInLineMillis = Math.min(remainingMillis(), MAX_REQUEUED_MILLIS);
--- a/gateway/src/main/java/org/jasminehub/gateway/call/ServiceLine.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/ServiceLine.java
@@ -9,8 +9,10 @@
 
 /** The calls that wait for a place at one service, and what decides about them. Used on the event loop only. */
 final class ServiceLine {
-    private static final Comparator<RunningCall> ORDER =
-            Comparator.comparingInt(RunningCall::priority).thenComparingLong(RunningCall::sequence);
+    /** Callers that came back are late in any case, so they follow those that can still be in time. */
+    private static final Comparator<RunningCall> ORDER = Comparator.comparingInt(RunningCall::priority)
+            .thenComparing(RunningCall::hasReturned)
+            .thenComparingLong(RunningCall::sequence);
 
     private final Clock clock;
     private final TreeSet<RunningCall> calls = new TreeSet<>(ORDER);
