--- a/gateway/src/test/java/org/jasminehub/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/GatewayFixture.java
@@ -48,6 +48,10 @@
         return GatewayHarness.request("GET", "/safe/x", id, KEY, "");
     }
 
+    static String hasty(String id) {
+        return GatewayHarness.request("GET", "/hasty/x", id, KEY, "");
+    }
+
     static String unsafe(String id) {
         return GatewayHarness.request("POST", "/unsafe/x", id, KEY, "pay");
     }
