The store's era: nothing believed goes back after a restore

In a drill the store comes back from a copy some seconds old: acknowledged records are gone, offsets are assigned again, and the era in every response rises.

Now: StoreClient decodes the era of every response, the failed ones too, and discards responses of an older era (typed error). EndpointHistory orders registrations of different eras by the endpoint's start and its registration counter instead of offsets, and peers share departures in their statuses. A process that starts in this time answers 503 until a peer that accepts callers has shared its state; registrations carry the era only once lost records count as written again, so nobody waits after a loss of all processes. Own registrations are written again, spread over 1.5 s; agents hear of a restore from their coordinator.

--- a/core/src/main/java/org/jasminehub/core/error/ErrorCode.java
+++ b/core/src/main/java/org/jasminehub/core/error/ErrorCode.java
@@ -20,6 +20,8 @@
     AUDIT_MISMATCH("audit-mismatch", 500),
     /** A service of the platform did not respond or responded with an error. */
     PLATFORM_UNAVAILABLE("platform-unavailable", 503),
+    /** A response of the platform's store originates from before its latest restore. */
+    STORE_ERA_OUTDATED("store-era-outdated", 503),
     /** The response to an append was lost and the effect of the append is not known yet. */
     APPEND_UNSETTLED("append-unsettled", 503),
     /** A request cannot be parsed. */
--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -15,6 +15,8 @@
 import org.jasminehub.core.balance.CallRetryBudget;
 import org.jasminehub.core.balance.EndpointChoicePolicy;
 import org.jasminehub.core.balance.EndpointLoads;
+import org.jasminehub.core.era.EraTracker;
+import org.jasminehub.core.era.StartupPolicy;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.identity.FailureDomain;
@@ -97,11 +99,14 @@
     private final InstanceDirectory instances;
     private final PeerExchange peers;
     private final ExpertCoordinator experts;
+    private final EraTracker eras;
     private final EndpointLoads loads;
     private final CallRetryBudget retryBudget;
     private final CallDispatcher dispatcher;
     private @Nullable CallerServer callers;
     private long clockDifferenceMillis;
+    private long firstReadMillis = Long.MAX_VALUE;
+    private boolean isStoreReliable;
     private boolean isReady;
     private boolean isStopping;
 
@@ -114,18 +119,21 @@
                 .next();
         this.timer = (delayMillis, action) -> loop.schedule(action, delayMillis, TimeUnit.MILLISECONDS);
         this.client = new EndpointClient(loop, clock);
+        this.eras = new EraTracker(clock);
         StoreClient store =
-                new StoreClient(new StoreConnection(client, EndpointAddress.parse(settings.storeAddress())));
-        this.configuration = new ConfigurationController(store, CONFIGURATION_READS, timer, clock, events);
-        this.endpoints = new EndpointController(store, ENDPOINT_READS, timer, clock, events);
-        this.registration = new InstanceRegistration(self(settings, clock), store, timer, events);
-        this.instances = new InstanceDirectory(registration, store, INSTANCE_READS, timer, clock, events);
+                new StoreClient(new StoreConnection(client, EndpointAddress.parse(settings.storeAddress())), eras);
+        RandomGenerator random = new SplittableRandom(settings.instance().hashCode() ^ clock.wallMillis());
+        this.configuration = new ConfigurationController(store, CONFIGURATION_READS, timer, clock, events, eras);
+        this.endpoints = new EndpointController(store, ENDPOINT_READS, timer, clock, events, eras);
+        this.registration = new InstanceRegistration(self(settings, clock), store, timer, events, eras, random);
+        this.instances = new InstanceDirectory(registration, store, INSTANCE_READS, timer, clock, events, eras);
         this.loads = new EndpointLoads(clock);
         this.peers = new PeerExchange(
                 registration,
                 instances,
                 configuration,
                 endpoints,
+                eras,
                 loads,
                 () -> isReady,
                 settings.seeds().stream().map(EndpointAddress::parse).toList(),
@@ -142,8 +150,8 @@
                 this::expertLayout,
                 client,
                 endpoints::all,
+                eras,
                 peers::isFirstByName);
-        RandomGenerator random = new SplittableRandom(settings.instance().hashCode() ^ clock.wallMillis());
         this.retryBudget = new CallRetryBudget(clock, settings.repeatRatio(), settings.repeatReserve(), (long)
                 (settings.repeatWindowSeconds() * TimeUnit.SECONDS.toMillis(1)));
         this.dispatcher = new CallDispatcher(
@@ -192,6 +200,8 @@
             instances.start(() -> {
                 retryBudget.setInstances(peers.maxInstances());
                 peers.onDirectoryChanged();
+                updateReadiness();
+                register();
             });
             peers.start(dispatcher::dispatchQueued);
             peers.setSlowdownSource(() -> experts.isActive() ? Optional.of(experts.slowEndpoints()) : Optional.empty());
@@ -289,6 +299,14 @@
                 .orElse(ExpertLayout.NONE);
     }
 
+    private void register() {
+        if (isStoreReliable) {
+            registration.registerInCurrentEra();
+        } else {
+            registration.registerWithoutEra();
+        }
+    }
+
     private void onEndpointsChanged() {
         dispatcher.dispatchQueued();
         updateReadiness();
@@ -296,7 +314,7 @@
 
     @Override
     public Optional<RouteTable> inForce() {
-        return configuration.inForce();
+        return isStoreReliable ? configuration.inForce() : Optional.empty();
     }
 
     @Override
@@ -321,11 +339,29 @@
         timer.runAfter(TICK_INTERVAL_MILLIS, this::tick);
     }
 
+    /** Re-evaluates whether the store can be relied on; once it can, the state only moves forward from there. */
+    private void updateStoreReliability() {
+        if (isStoreReliable || configuration.inForce().isEmpty()) {
+            return;
+        }
+        long nowMillis = clock.monotonicMillis();
+        firstReadMillis = Math.min(firstReadMillis, nowMillis);
+        isStoreReliable = StartupPolicy.mayRelyOnStore(
+                eras.current().orElse(null),
+                instances.hasRead() ? Optional.of(instances.erasOfOthers()) : Optional.empty(),
+                peers.isInformed(),
+                nowMillis - firstReadMillis);
+        if (isStoreReliable && instances.hasRead()) {
+            register();
+        }
+    }
+
     /** Re-evaluates whether this instance accepts callers. */
     private void updateReadiness() {
+        updateStoreReliability();
         boolean isFresh = configuration.inForce().isPresent()
                 && configuration.ageMillis() < settings.revocationMillis() * FRESH_SHARE;
-        boolean isNowReady = isFresh && endpoints.ageMillis() != Long.MAX_VALUE && !isStopping;
+        boolean isNowReady = isStoreReliable && isFresh && endpoints.ageMillis() != Long.MAX_VALUE && !isStopping;
         if (isNowReady != isReady) {
             isReady = isNowReady;
             events.emit(new ControlEvent(
--- a/gateway/src/main/java/org/jasminehub/gateway/RankAgentProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/RankAgentProgram.java
@@ -4,7 +4,9 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import org.jasminehub.core.era.EraTracker;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.gateway.control.ControlEvent;
@@ -33,8 +35,9 @@
         this.loop =
                 new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("agent"), NioIoHandler.newFactory()).next();
         EndpointClient client = new EndpointClient(loop, clock);
+        EraTracker eras = new EraTracker(clock);
         StoreClient store =
-                new StoreClient(new StoreConnection(client, EndpointAddress.parse(settings.storeAddress())));
+                new StoreClient(new StoreConnection(client, EndpointAddress.parse(settings.storeAddress())), eras);
         InstanceRecord self = InstanceRecord.newBuilder()
                 .setInstance(settings.instance())
                 .setHost(settings.host())
@@ -47,16 +50,18 @@
                 self,
                 store,
                 (delayMillis, action) -> loop.schedule(action, delayMillis, TimeUnit.MILLISECONDS),
-                events);
+                events,
+                eras,
+                new SplittableRandom(settings.instance().hashCode() ^ clock.wallMillis()));
         BufferedHttpClient engine =
                 new BufferedHttpClient(client, EndpointAddress.parse(settings.engineAddress()), "engine");
-        this.agent = new RankAgentService(loop, clock, engine, events);
+        this.agent = new RankAgentService(loop, clock, engine, events, eras);
     }
 
     void start() {
         PeerServer.start(loop, new EndpointAddress(settings.host(), settings.agentPort()), agent);
         loop.execute(() -> {
-            registration.register();
+            registration.registerWithoutEra();
             agent.start();
         });
         events.emit(new ControlEvent(
--- a/gateway/src/main/java/org/jasminehub/gateway/control/ConfigurationController.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/ConfigurationController.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.jasminehub.core.balance.StateAge;
+import org.jasminehub.core.era.EraTracker;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.serving.RouteTable;
 import org.jasminehub.core.time.Clock;
@@ -26,16 +27,25 @@
     private final LogFollower follower;
     private @Nullable RouteTable inForce;
     private byte @Nullable [] bytesInForce;
+    /** The newest version that the store has shown since all records were last read. */
+    private long newestStoredVersion;
+
     private Runnable onApplied = () -> {};
 
     /** Creates a controller without a configuration. */
     public ConfigurationController(
-            StoreClient store, FollowerSettings settings, DelayedRunner timer, Clock clock, EventSink events) {
+            StoreClient store,
+            FollowerSettings settings,
+            DelayedRunner timer,
+            Clock clock,
+            EventSink events,
+            EraTracker eras) {
         this.events = events;
         this.follower = new LogFollower(
-                store, StoreTopic.CONFIGURATION, settings, timer, clock, events, new LogFollower.Listener() {
+                store, StoreTopic.CONFIGURATION, settings, timer, clock, events, eras, new LogFollower.Listener() {
                     @Override
                     public void onSnapshot(List<KeyedRecord> records) {
+                        newestStoredVersion = 0;
                         records.forEach(ConfigurationController.this::onRecord);
                     }
 
@@ -43,6 +53,12 @@
                     public void onRecords(List<KeyedRecord> records) {
                         records.forEach(ConfigurationController.this::onRecord);
                     }
+
+                    @Override
+                    public boolean isUpToDate() {
+                        RouteTable known = inForce;
+                        return known == null || newestStoredVersion >= known.version();
+                    }
                 });
     }
 
@@ -104,25 +120,28 @@
     private void onRecord(KeyedRecord record) {
         byte[] value = record.value();
         if (record.key().equals(StoreTopic.CONFIGURATION_KEY) && value != null) {
-            apply(value);
+            newestStoredVersion = Math.max(newestStoredVersion, apply(value));
         }
     }
 
-    private void apply(byte[] bytes) {
+    /** Applies a configuration if it is newer than the one in force; returns its version, 0 if it is not valid. */
+    private long apply(byte[] bytes) {
         try {
             RouteTable table = RouteTableAdapter.decode(bytes);
             RouteTable known = inForce;
             if (known != null && table.version() <= known.version()) {
-                return;
+                return table.version();
             }
             inForce = table;
             bytesInForce = bytes;
             events.emit(new ControlEvent(
                     ControlEventKind.CONFIGURATION_APPLIED, "version " + table.version(), bytes.length + " bytes", 0));
             onApplied.run();
+            return table.version();
         } catch (RecordRejectedException e) {
             events.emit(new ControlEvent(
                     ControlEventKind.RECORD_REJECTED, "configuration", String.valueOf(e.getMessage()), 0));
+            return 0;
         }
     }
 }
--- a/gateway/src/main/java/org/jasminehub/gateway/control/ControlEventKind.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/ControlEventKind.java
@@ -21,6 +21,12 @@
     INSTANCE_CHANGED(3506, Severity.INFO, "Another instance of this system came, changed or is gone."),
     /** This instance started or stopped accepting callers. */
     READINESS_CHANGED(3507, Severity.INFO, "This instance became ready for callers, or stopped being so."),
+    /** The store was restored from a copy; what it lost is known here until it is written again. */
+    STORE_RESTORED(3508, Severity.WARNING, "The platform's store was restored from a copy and is read again."),
+    /** A response of the store from before its latest restore was ignored. */
+    STORE_RESPONSE_DISCARDED(3509, Severity.WARNING, "A response of the store is older than its latest restore."),
+    /** A record of a restored store was ignored because a newer one is known. */
+    RECORD_OUTDATED(3510, Severity.INFO, "A restored store shows an older record than the one known here."),
     /** The process has started. */
     PROCESS_STARTED(1500, Severity.INFO, "The process has started."),
     /** The process was asked to stop. */
--- a/gateway/src/main/java/org/jasminehub/gateway/control/EndpointController.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/EndpointController.java
@@ -8,9 +8,13 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.jasminehub.core.balance.EndpointEligibility;
+import org.jasminehub.core.era.DepartedEndpoint;
+import org.jasminehub.core.era.EndpointHistory;
+import org.jasminehub.core.era.EraTracker;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.serving.EndpointRecord;
+import org.jasminehub.core.serving.EndpointRegistration;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.platform.hosted.EndpointRecordAdapter;
 import org.jasminehub.platform.hosted.KeyedRecord;
@@ -36,6 +40,8 @@
     private final Clock clock;
     private final DelayedRunner timer;
     private final LogFollower follower;
+    private final EraTracker eras;
+    private final EndpointHistory history;
     private final Map<EndpointId, EndpointRecord> endpoints = new HashMap<>();
     private final Map<EndpointId, Long> expiredAtMillis = new HashMap<>();
     private Map<String, List<EndpointRecord>> servingByService = Map.of();
@@ -44,12 +50,19 @@
 
     /** Creates a controller without endpoints. */
     public EndpointController(
-            StoreClient store, FollowerSettings settings, DelayedRunner timer, Clock clock, EventSink events) {
+            StoreClient store,
+            FollowerSettings settings,
+            DelayedRunner timer,
+            Clock clock,
+            EventSink events,
+            EraTracker eras) {
         this.events = events;
+        this.eras = eras;
+        this.history = new EndpointHistory(eras, clock);
         this.clock = clock;
         this.timer = timer;
         this.follower = new LogFollower(
-                store, StoreTopic.ENDPOINTS, settings, timer, clock, events, new LogFollower.Listener() {
+                store, StoreTopic.ENDPOINTS, settings, timer, clock, events, eras, new LogFollower.Listener() {
                     @Override
                     public void onSnapshot(List<KeyedRecord> records) {
                         applySnapshot(records);
@@ -105,6 +118,30 @@
         return List.copyOf(endpoints.values());
     }
 
+    /** Returns the endpoints that left before the store was restored, while the restored store may show them. */
+    public List<DepartedEndpoint> departedBeforeRestore() {
+        return eras.isRewriting() ? history.departedBeforeRestore() : List.of();
+    }
+
+    /** Stops calls to endpoints that a peer knows to have left, although the restored store shows them. */
+    public void onPeerDepartures(List<DepartedEndpoint> departures) {
+        boolean isChanged = false;
+        for (DepartedEndpoint departed : departures) {
+            history.onPeerDeparture(departed);
+            EndpointRecord known = endpoints.get(departed.id());
+            if (known != null && history.isDeparted(known)) {
+                endpoints.remove(departed.id());
+                events.emit(new ControlEvent(
+                        ControlEventKind.ENDPOINT_CHANGED, departed.id().value(), "left before the restore", 0));
+                onUnavailable.accept(known);
+                isChanged = true;
+            }
+        }
+        if (isChanged) {
+            publish();
+        }
+    }
+
     private void applySnapshot(List<KeyedRecord> records) {
         Set<EndpointId> listed = new HashSet<>();
         for (KeyedRecord record : records) {
@@ -133,7 +170,18 @@
             return;
         }
         try {
-            EndpointRecord decoded = EndpointRecordAdapter.decode(record.key(), value);
+            EndpointRegistration registration = EndpointRecordAdapter.decode(record.key(), value);
+            EndpointRecord decoded = registration.endpoint();
+            if (history.isOutdated(registration)) {
+                events.emit(new ControlEvent(
+                        ControlEventKind.RECORD_OUTDATED,
+                        record.key(),
+                        "registration " + registration.sequence() + " of the run started at "
+                                + decoded.startedWallMillis() + " is older than the known one",
+                        0));
+                return;
+            }
+            history.onAccepted(registration);
             expiredAtMillis.remove(id);
             EndpointRecord previous = endpoints.put(id, decoded);
             if (previous != null && !previous.isSameIncarnation(decoded)) {
@@ -165,13 +213,15 @@
         if (!endpoints.containsKey(id)) {
             return;
         }
-        boolean mayReregister = follower.isStoreLost() || follower.millisSinceRegained() < REREGISTRATION_MILLIS;
+        boolean mayReregister =
+                follower.isStoreLost() || follower.millisSinceRegained() < REREGISTRATION_MILLIS || eras.isRewriting();
         if (!mayReregister) {
             remove(id, "gone");
             return;
         }
         if (expiredAtMillis.putIfAbsent(id, clock.monotonicMillis()) == null) {
-            long delayMillis = Math.max(1, REREGISTRATION_MILLIS - follower.millisSinceRegained());
+            long delayMillis = Math.max(
+                    Math.max(1, REREGISTRATION_MILLIS - follower.millisSinceRegained()), eras.rewriteRemainingMillis());
             timer.runAfter(delayMillis, () -> {
                 if (expiredAtMillis.containsKey(id)) {
                     remove(id, "registration expired and was not renewed");
@@ -183,6 +233,7 @@
 
     private void remove(EndpointId id, String reason) {
         expiredAtMillis.remove(id);
+        history.onDeparted(id);
         @Nullable EndpointRecord previous = endpoints.remove(id);
         if (previous != null) {
             events.emit(new ControlEvent(ControlEventKind.ENDPOINT_CHANGED, id.value(), reason, 0));
--- a/gateway/src/main/java/org/jasminehub/gateway/control/InstanceDirectory.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/InstanceDirectory.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.jasminehub.core.era.EraTracker;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.platform.hosted.KeyedRecord;
@@ -15,11 +16,17 @@
 
 /** Holds the registered entry instances and rank agents. Must be used on the process's event loop only. */
 public final class InstanceDirectory {
+    /** Covers the spread of new registrations after a restore and a few retries. */
+    private static final long MISSING_INSTANCE_KEPT_MILLIS = 5_000;
+
     private final InstanceRegistration registration;
     private final EventSink events;
+    private final EraTracker eras;
+    private final Clock clock;
     private final LogFollower follower;
     private final Map<String, InstanceRecord> instances = new HashMap<>();
     private Runnable onChanged = () -> {};
+    private boolean hasRead;
 
     /** Creates an empty directory. */
     public InstanceDirectory(
@@ -28,11 +35,14 @@
             FollowerSettings settings,
             DelayedRunner timer,
             Clock clock,
-            EventSink events) {
+            EventSink events,
+            EraTracker eras) {
         this.registration = registration;
         this.events = events;
+        this.eras = eras;
+        this.clock = clock;
         this.follower = new LogFollower(
-                store, StoreTopic.INSTANCES, settings, timer, clock, events, new LogFollower.Listener() {
+                store, StoreTopic.INSTANCES, settings, timer, clock, events, eras, new LogFollower.Listener() {
                     @Override
                     public void onSnapshot(List<KeyedRecord> records) {
                         applySnapshot(records);
@@ -44,12 +54,18 @@
                         onChanged.run();
                     }
                 });
+        // Instances that are missing from the restored store register again shortly after the lost records count as
+        // written again; those that do not are dropped then.
+        eras.onRise(() -> timer.runAfter(eras.rewriteRemainingMillis() + MISSING_INSTANCE_KEPT_MILLIS, () -> {
+            if (!eras.isRewriting()) {
+                follower.readAllAgain();
+            }
+        }));
     }
 
-    /** Registers this process and starts to follow the registrations; {@code changed} runs after each change. */
+    /** Starts to follow the registrations; {@code changed} runs after each change, first when they have been read. */
     public void start(Runnable changed) {
         onChanged = changed;
-        registration.register();
         follower.restart();
     }
 
@@ -72,14 +88,36 @@
                 .toList();
     }
 
+    /** Returns whether the directory has been read from the store. */
+    public boolean hasRead() {
+        return hasRead;
+    }
+
+    /** Returns the eras in the registrations of all other entry instances, 0 where one states none. */
+    public List<Long> erasOfOthers() {
+        return entries().stream()
+                .filter(each -> !each.getInstance().equals(registration.self().getInstance()))
+                .map(InstanceRecord::getStoreEra)
+                .toList();
+    }
+
+    private boolean isSettled() {
+        return eras.isCompleteSince(clock.monotonicMillis() - MISSING_INSTANCE_KEPT_MILLIS);
+    }
+
     private void applySnapshot(List<KeyedRecord> records) {
         Set<String> listed = new HashSet<>();
         records.forEach(record -> {
             onRecord(record);
             listed.add(record.key());
         });
-        instances.keySet().retainAll(listed);
-        if (registration.isRegistered() && !listed.contains(registration.self().getInstance())) {
+        if (isSettled()) {
+            instances.keySet().retainAll(listed);
+        }
+        hasRead = true;
+        if (!eras.isRewriting()
+                && registration.isRegistered()
+                && !listed.contains(registration.self().getInstance())) {
             registration.register();
         }
         onChanged.run();
--- a/gateway/src/main/java/org/jasminehub/gateway/control/InstanceRegistration.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/InstanceRegistration.java
@@ -1,5 +1,8 @@
 package org.jasminehub.gateway.control;
 
+import java.util.random.RandomGenerator;
+import org.jasminehub.core.era.EraTracker;
+import org.jasminehub.core.era.StoreEra;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.platform.hosted.StoreClient;
 import org.jasminehub.platform.hosted.StoreTopic;
@@ -12,19 +15,71 @@
 
     private static final long APPEND_RETRY_MILLIS = 1_000;
 
-    private final InstanceRecord self;
+    /**
+     * Longest random delay of a new registration after a restore, so that the whole fleet does not write at once. A
+     * store that takes 400 appends a second then serves several hundred instances.
+     */
+    private static final long REWRITE_SPREAD_MILLIS = 1_500;
+
+    /** The era in registrations of processes that do not know it. */
+    private static final long UNKNOWN_ERA = 0;
+
     private final StoreClient store;
     private final DelayedRunner timer;
     private final EventSink events;
+    private final EraTracker eras;
+    private final RandomGenerator random;
+    private InstanceRecord self;
+    private boolean isRequested;
     private boolean isRegistered;
     private boolean isDeregistering;
 
     /** Creates a registration for {@code self} without registering it yet. */
-    public InstanceRegistration(InstanceRecord self, StoreClient store, DelayedRunner timer, EventSink events) {
+    public InstanceRegistration(
+            InstanceRecord self,
+            StoreClient store,
+            DelayedRunner timer,
+            EventSink events,
+            EraTracker eras,
+            RandomGenerator random) {
         this.self = self;
         this.store = store;
         this.timer = timer;
         this.events = events;
+        this.eras = eras;
+        this.random = random;
+        eras.onRise(this::registerAfterRewrite);
+    }
+
+    /**
+     * Registers again once lost records count as written again. A restore may have removed the registration, and its
+     * era tells processes that start later that they can rely on the store.
+     */
+    private void registerAfterRewrite() {
+        long delayMillis = eras.rewriteRemainingMillis() + random.nextLong(REWRITE_SPREAD_MILLIS);
+        timer.runAfter(delayMillis, () -> {
+            if (!eras.isRewriting()) {
+                registerInCurrentEra();
+            }
+        });
+    }
+
+    /** Registers with the era of the store, which states that all records of the store can be relied on. */
+    public void registerInCurrentEra() {
+        registerIn(eras.current().map(StoreEra::number).orElse(UNKNOWN_ERA));
+    }
+
+    /** Registers without an era, because this process cannot tell yet whether the store's records are complete. */
+    public void registerWithoutEra() {
+        registerIn(UNKNOWN_ERA);
+    }
+
+    private void registerIn(long era) {
+        if (!isRequested || self.getStoreEra() != era) {
+            isRequested = true;
+            self = self.toBuilder().setStoreEra(era).build();
+            register();
+        }
     }
 
     /** Returns the record that is registered. */
@@ -37,8 +92,8 @@
         return isRegistered;
     }
 
-    /** Registers this process and retries until the store confirms it. */
-    public void register() {
+    /** Appends the registration and retries until the store confirms it. */
+    void register() {
         if (isDeregistering) {
             return;
         }
--- a/gateway/src/main/java/org/jasminehub/gateway/control/LogFollower.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/LogFollower.java
@@ -4,18 +4,21 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import org.jasminehub.core.balance.StateAge;
+import org.jasminehub.core.era.EraTracker;
+import org.jasminehub.core.era.StoreEra;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.platform.hosted.HistoryTruncatedException;
 import org.jasminehub.platform.hosted.KeyedRecord;
 import org.jasminehub.platform.hosted.LogSlice;
+import org.jasminehub.platform.hosted.OutdatedEraException;
 import org.jasminehub.platform.hosted.StoreClient;
 import org.jasminehub.platform.hosted.StoreTopic;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Follows a keyed log: reads the newest record of every key, then all later records. Starts again with the newest
- * records if the log no longer holds the next offset.
+ * records if the log no longer holds the next offset or if the store was restored from a copy.
  *
  * <p>Must be used on the process's event loop only.
  */
@@ -32,6 +35,11 @@
 
         /** Called with records that were appended, oldest first. */
         void onRecords(List<KeyedRecord> records);
+
+        /** Returns whether the records read so far are at least as new as the state that is in use. */
+        default boolean isUpToDate() {
+            return true;
+        }
     }
 
     private final StoreClient store;
@@ -40,6 +48,7 @@
     private final DelayedRunner timer;
     private final Clock clock;
     private final EventSink events;
+    private final EraTracker eras;
     private final Listener listener;
     private final StateAge age;
     private long nextOffset = -1;
@@ -57,6 +66,7 @@
             DelayedRunner timer,
             Clock clock,
             EventSink events,
+            EraTracker eras,
             Listener listener) {
         this.store = store;
         this.topic = topic;
@@ -64,8 +74,30 @@
         this.timer = timer;
         this.clock = clock;
         this.events = events;
+        this.eras = eras;
         this.listener = listener;
         this.age = new StateAge(clock);
+        eras.onRise(this::onEraRisen);
+    }
+
+    /** Offsets of the previous era have no meaning in the new one, so everything is read again. */
+    private void onEraRisen() {
+        if (generation == 0 || isStopped) {
+            return;
+        }
+        events.emit(new ControlEvent(
+                ControlEventKind.STORE_RESTORED,
+                topic.name(),
+                "reads all records again from era "
+                        + eras.current().map(StoreEra::number).orElse(0L) + " instead of offset " + nextOffset,
+                age.millis()));
+        readAllAgain();
+    }
+
+    /** Reads the newest record of every key again. */
+    void readAllAgain() {
+        nextOffset = -1;
+        restart();
     }
 
     /** Starts to read, or abandons the current read and reads again at once. */
@@ -130,7 +162,10 @@
         } else if (!slice.records().isEmpty()) {
             listener.onRecords(slice.records());
         }
-        age.confirm(confirmedAt(requestedAt, isSnapshot, slice));
+        // After a restore the store does not show the lost records until they have been written again.
+        if (eras.isCompleteSince(requestedAt.monotonicMillis()) && listener.isUpToDate()) {
+            age.confirm(confirmedAt(requestedAt, isSnapshot, slice));
+        }
         timer.runAfter(settings.pauseMillis(), () -> read(readGeneration));
     }
 
@@ -157,7 +192,10 @@
             read(readGeneration);
             return;
         }
-        if (!isStoreLost) {
+        if (cause instanceof OutdatedEraException) {
+            events.emit(new ControlEvent(
+                    ControlEventKind.STORE_RESPONSE_DISCARDED, topic.name(), describe(cause), age.millis()));
+        } else if (!isStoreLost) {
             isStoreLost = true;
             lostAtMillis = clock.monotonicMillis();
             events.emit(new ControlEvent(ControlEventKind.STORE_LOST, topic.name(), describe(cause), age.millis()));
--- a/gateway/src/main/java/org/jasminehub/gateway/control/PeerExchange.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/PeerExchange.java
@@ -14,6 +14,9 @@
 import java.util.function.Supplier;
 import org.jasminehub.core.balance.EndpointLoads;
 import org.jasminehub.core.balance.StateAge;
+import org.jasminehub.core.era.DepartedEndpoint;
+import org.jasminehub.core.era.EraTracker;
+import org.jasminehub.core.era.StoreEra;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.time.Clock;
@@ -23,6 +26,7 @@
 import org.jasminehub.gateway.peer.PeerListener;
 import org.jasminehub.wire.generated.ConfigurationCopy;
 import org.jasminehub.wire.generated.EndpointCalls;
+import org.jasminehub.wire.generated.EndpointDeparture;
 import org.jasminehub.wire.generated.EndpointPace;
 import org.jasminehub.wire.generated.InstanceRecord;
 import org.jasminehub.wire.generated.PeerEcho;
@@ -55,6 +59,7 @@
     private final InstanceDirectory directory;
     private final ConfigurationController configuration;
     private final EndpointController endpoints;
+    private final EraTracker eras;
     private final EndpointLoads loads;
     private final BooleanSupplier acceptsCallers;
     private final List<EndpointAddress> seeds;
@@ -71,6 +76,7 @@
     private PeerStatus lastSent = PeerStatus.getDefaultInstance();
     private long lastSentMillis;
     private long nextToken = 1;
+    private boolean isInformed;
 
     /** Creates an exchange without peers. */
     public PeerExchange(
@@ -78,6 +84,7 @@
             InstanceDirectory directory,
             ConfigurationController configuration,
             EndpointController endpoints,
+            EraTracker eras,
             EndpointLoads loads,
             BooleanSupplier acceptsCallers,
             List<EndpointAddress> seeds,
@@ -89,6 +96,7 @@
         this.directory = directory;
         this.configuration = configuration;
         this.endpoints = endpoints;
+        this.eras = eras;
         this.loads = loads;
         this.acceptsCallers = acceptsCallers;
         this.seeds = List.copyOf(seeds);
@@ -168,6 +176,11 @@
                         .noneMatch(each -> each.getInstance().compareTo(own) < 0);
     }
 
+    /** Returns whether an instance that accepts callers has shared its state, and this one is not behind it. */
+    public boolean isInformed() {
+        return isInformed;
+    }
+
     /** Returns an upper bound for the number of live entry instances, including this one. */
     public int maxInstances() {
         Set<String> names = new HashSet<>(peers.keySet());
@@ -211,7 +224,14 @@
                 .setAcceptsCallers(acceptsCallers.getAsBoolean())
                 .setConfigurationVersion(version())
                 .setConfigurationAgeMillis(configuration.ageMillis())
-                .setToken(nextToken++);
+                .setToken(nextToken++)
+                .setStoreEra(eras.current().map(StoreEra::number).orElse(0L));
+        endpoints
+                .departedBeforeRestore()
+                .forEach(departed -> status.addDepartures(EndpointDeparture.newBuilder()
+                        .setEndpoint(departed.id().value())
+                        .setStartedWallMillis(departed.startedWallMillis())
+                        .setSequence(departed.sequence())));
         new TreeMap<>(loads.ownCalls())
                 .forEach((endpoint, calls) -> status.addCalls(EndpointCalls.newBuilder()
                         .setEndpointHash(endpoint.value().hashCode())
@@ -255,6 +275,7 @@
                         .setConfigurationVersion(version())
                         .setConfigurationAgeMillis(configuration.ageMillis()))
                 .build());
+        shareRestoreState(status);
         String name = status.getInstance().getInstance();
         PeerState previous = peers.put(
                 name, new PeerState(status.getInstance(), status.getAcceptsCallers(), clock.monotonicMillis()));
@@ -274,6 +295,25 @@
         applyLoads(name, status);
     }
 
+    /** Takes over what the peer knows about a restore of the store. */
+    private void shareRestoreState(PeerStatus status) {
+        if (status.getStoreEra() > 0) {
+            eras.observe(new StoreEra(status.getStoreEra()));
+        }
+        if (status.getDeparturesCount() > 0) {
+            endpoints.onPeerDepartures(status.getDeparturesList().stream()
+                    .filter(departure -> !departure.getEndpoint().isBlank())
+                    .map(departure -> new DepartedEndpoint(
+                            new EndpointId(departure.getEndpoint()),
+                            departure.getStartedWallMillis(),
+                            departure.getSequence()))
+                    .toList());
+        }
+        boolean knowsRestore =
+                status.getStoreEra() == eras.current().map(StoreEra::number).orElse(0L);
+        isInformed |= knowsRestore && status.getAcceptsCallers() && status.getConfigurationVersion() <= version();
+    }
+
     private void applyLoads(String name, PeerStatus status) {
         Map<Integer, Integer> callsByHash = new HashMap<>();
         status.getCallsList().forEach(calls -> callsByHash.put(calls.getEndpointHash(), calls.getCalls()));
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/ExpertCoordinator.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/ExpertCoordinator.java
@@ -8,6 +8,8 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.jasminehub.core.era.EraTracker;
+import org.jasminehub.core.era.StoreEra;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.serving.EndpointRecord;
@@ -53,6 +55,7 @@
     private final Map<EndpointAddress, PeerLink> links = new HashMap<>();
     private final Map<String, GroupPlacement> groups = new HashMap<>();
     private final Supplier<List<EndpointRecord>> endpoints;
+    private final EraTracker eras;
     private final DirectEngineAccess directEngines;
     private boolean wasResponsible;
     private long lastWatchMillis;
@@ -67,6 +70,7 @@
             Supplier<ExpertLayout> layout,
             EndpointClient client,
             Supplier<List<EndpointRecord>> endpoints,
+            EraTracker eras,
             BooleanSupplier isResponsible) {
         this.loop = loop;
         this.clock = clock;
@@ -75,6 +79,7 @@
         this.agents = agents;
         this.layout = layout;
         this.endpoints = endpoints;
+        this.eras = eras;
         this.directEngines = new DirectEngineAccess(loop, clock, events, client, endpoints);
         this.isResponsible = isResponsible;
     }
@@ -152,9 +157,10 @@
         links.values().forEach(link -> link.send(watchMessage()));
     }
 
-    private static PeerEnvelope watchMessage() {
+    private PeerEnvelope watchMessage() {
+        long era = eras.current().map(StoreEra::number).orElse(0L);
         return PeerEnvelope.newBuilder()
-                .setRankWatch(RankWatch.newBuilder().setWithCounts(true))
+                .setRankWatch(RankWatch.newBuilder().setWithCounts(true).setStoreEra(era))
                 .build();
     }
 
--- a/gateway/src/main/java/org/jasminehub/gateway/net/BufferedHttpClient.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/BufferedHttpClient.java
@@ -30,7 +30,7 @@
     }
 
     /** A complete response. */
-    public record Response(int status, byte[] body) {}
+    public record Response(int status, HttpHeaders headers, byte[] body) {}
 
     /**
      * Makes a call.
@@ -67,14 +67,16 @@
         private final CompletableFuture<Response> result;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private @Nullable HttpResponseStatus status;
+        private @Nullable HttpHeaders headers;
 
         ResponseCollector(CompletableFuture<Response> result) {
             this.result = result;
         }
 
         @Override
-        public void onHead(HttpResponseStatus responseStatus, HttpHeaders headers) {
+        public void onHead(HttpResponseStatus responseStatus, HttpHeaders responseHeaders) {
             status = responseStatus;
+            headers = responseHeaders;
         }
 
         @Override
@@ -84,8 +86,8 @@
 
         @Override
         public void onEnd() {
-            if (status != null) {
-                result.complete(new Response(status.code(), body.toByteArray()));
+            if (status != null && headers != null) {
+                result.complete(new Response(status.code(), headers, body.toByteArray()));
             }
         }
 
--- a/gateway/src/main/java/org/jasminehub/gateway/net/StoreConnection.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/StoreConnection.java
@@ -17,6 +17,6 @@
     @Override
     public CompletableFuture<StoreResponse> send(StoreCall call, long timeoutMillis) {
         return caller.call(call.method(), call.uri(), call.contentType(), call.body(), timeoutMillis)
-                .thenApply(response -> new StoreResponse(response.status(), response.body()));
+                .thenApply(response -> new StoreResponse(response.status(), response.headers()::get, response.body()));
     }
 }
--- a/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
@@ -20,6 +20,8 @@
 import java.util.function.BooleanSupplier;
 import org.jasminehub.core.event.Event;
 import org.jasminehub.core.time.Clock;
+import org.jasminehub.gateway.control.ControlEvent;
+import org.jasminehub.gateway.control.ControlEventKind;
 import org.jasminehub.runtime.time.SystemClock;
 
 /** A real entry instance on loopback, with an in-memory store. */
@@ -117,18 +119,40 @@
 
     /** Publishes a configuration with {@code key} as its only key and waits until it is in force. */
     void configure(long version, String key) {
-        store.put("keyed.op", "config", CONFIGURATION.formatted(version, key));
+        putConfiguration(version, key);
         await(() -> entry.inForce().map(table -> table.version()).orElse(0L) >= version);
     }
 
     /** Registers an endpoint and waits until the entry instance knows it in that state. */
     void register(String id, int port, String state) {
+        putRegistration(id, port, state, 1);
+        await(() -> entry.knowsEndpoint(id, state.equals("draining")));
+    }
+
+    /** Writes the registration number {@code sequence} of an endpoint without waiting for its effect. */
+    void putRegistration(String id, int port, String state, long sequence) {
         store.put(
                 "keyed.servers",
                 id,
                 "{\"service\":\"plain\",\"address\":\"127.0.0.1:" + port + "\",\"zone\":\"a\",\"slots\":4,\"state\":\""
-                        + state + "\",\"born\":1,\"sequence\":1}");
-        await(() -> entry.knowsEndpoint(id, state.equals("draining")));
+                        + state + "\",\"born\":1,\"sequence\":" + sequence + "}");
+    }
+
+    /** Publishes a configuration without waiting until it is in force. */
+    void putConfiguration(long version, String key) {
+        store.put("keyed.op", "config", CONFIGURATION.formatted(version, key));
+    }
+
+    /** Waits until an event of {@code kind} about {@code subject} has been logged. */
+    void awaitEvent(ControlEventKind kind, String subject) {
+        await(() -> hasEvent(kind, subject));
+    }
+
+    boolean hasEvent(ControlEventKind kind, String subject) {
+        return events.stream()
+                .anyMatch(event -> event instanceof ControlEvent control
+                        && control.kind() == kind
+                        && control.subject().equals(subject));
     }
 
     /** Waits until a condition holds that another thread establishes. */
--- a/gateway/src/test/java/org/jasminehub/gateway/InMemoryStore.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/InMemoryStore.java
@@ -28,6 +28,7 @@
     private final EventLoop loop;
     private final CallerServer server;
     private final Map<String, List<Entry>> logsByTopic = new LinkedHashMap<>();
+    private long era = 1;
     private boolean isDown;
 
     InMemoryStore(EventLoop loop) {
@@ -50,6 +51,31 @@
                 .add(new Entry(key, value.getBytes(StandardCharsets.UTF_8)));
     }
 
+    /** A copy of all records, as made some time before an incident. */
+    static final class Copy {
+        private final Map<String, List<Entry>> logsByTopic = new LinkedHashMap<>();
+    }
+
+    synchronized Copy copy() {
+        Copy copy = new Copy();
+        logsByTopic.forEach((topic, log) -> copy.logsByTopic.put(topic, new ArrayList<>(log)));
+        return copy;
+    }
+
+    /** Replaces all records by those of {@code copy} and begins the next era; later offsets are assigned again. */
+    synchronized void restore(Copy copy) {
+        logsByTopic.clear();
+        copy.logsByTopic.forEach((topic, log) -> logsByTopic.put(topic, new ArrayList<>(log)));
+        era++;
+    }
+
+    /** Returns how often {@code key} was appended to {@code topic}, as far as the store knows. */
+    synchronized long count(String topic, String key) {
+        return logsByTopic.getOrDefault(topic, List.of()).stream()
+                .filter(entry -> entry.key().equals(key))
+                .count();
+    }
+
     /** Sets whether the store refuses all calls. */
     synchronized void setDown(boolean down) {
         isDown = down;
@@ -85,8 +111,10 @@
         long step = 10;
         if (isDown) {
             answer.abort();
-        } else if (log.size() <= from && waitMillis > 0) {
+        } else if (log.size() == from && waitMillis > 0) {
             loop.schedule(() -> read(log, from, waitMillis - step, answer), step, TimeUnit.MILLISECONDS);
+        } else if (from > log.size()) {
+            respond(answer, HttpResponseStatus.GONE, "{\"first\":0}".getBytes(StandardCharsets.UTF_8));
         } else {
             respond(answer, HttpResponseStatus.OK, slice(log, from));
         }
@@ -134,7 +162,7 @@
         log.add(new Entry(new String(key, StandardCharsets.UTF_8), value));
     }
 
-    private static void respond(CallerResponse answer, HttpResponseStatus status, byte[] body) {
-        answer.complete(status, new DefaultHttpHeaders(false), body);
+    private void respond(CallerResponse answer, HttpResponseStatus status, byte[] body) {
+        answer.complete(status, new DefaultHttpHeaders(false).set("Store-Era", era), body);
     }
 }
--- a/gateway/src/test/java/org/jasminehub/gateway/PeersTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/PeersTest.java
@@ -12,9 +12,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.jasminehub.core.serving.RouteTable;
 import org.jasminehub.runtime.time.SystemClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 /** Tests two entry instances that share a store and exchange status messages. */
@@ -108,6 +110,52 @@
         assertEquals(List.of("entry-1", "entry-2"), entries.get(0).acceptingNames());
     }
 
+    private long version(int entry) {
+        return entries.get(entry).inForce().map(RouteTable::version).orElse(0L);
+    }
+
+    private static String registration(String state, long sequence) {
+        return "{\"service\":\"s\",\"address\":\"127.0.0.1:9\",\"zone\":\"a\",\"slots\":4,\"state\":\"" + state
+                + "\",\"born\":1,\"sequence\":" + sequence + "}";
+    }
+
+    /** An instance that starts while the store shows a copy from before its latest writes. */
+    @Nested
+    final class StartAfterRestore {
+        @Test
+        void testServesOnlyWithTheConfigurationThatPeersKnow() throws IOException {
+            await(0, List.of("entry-1", "entry-2"));
+            InMemoryStore.Copy copy = store.copy();
+            store.put("keyed.op", "config", CONFIGURATION.formatted(7));
+            GatewayHarness.await(() -> version(0) == 7 && version(1) == 7);
+
+            store.restore(copy);
+            startEntry("entry-3");
+            GatewayHarness.await(() -> version(2) != 0);
+
+            assertEquals(7, version(2));
+        }
+
+        @Test
+        void testDoesNotUseAnEndpointThatPeersKnowToHaveLeft() throws IOException {
+            await(0, List.of("entry-1", "entry-2"));
+            store.put("keyed.servers", "e-1", registration("ready", 1));
+            store.put("keyed.servers", "e-2", registration("ready", 1));
+            GatewayHarness.await(() ->
+                    entries.get(0).knowsEndpoint("e-2", false) && entries.get(1).knowsEndpoint("e-2", false));
+            InMemoryStore.Copy copy = store.copy();
+            store.put("keyed.servers", "e-2", "");
+            GatewayHarness.await(() -> !entries.get(0).knowsEndpoint("e-2", false)
+                    && !entries.get(1).knowsEndpoint("e-2", false));
+
+            store.restore(copy);
+            startEntry("entry-3");
+            GatewayHarness.await(() -> version(2) != 0 && entries.get(2).knowsEndpoint("e-1", false));
+
+            GatewayHarness.await(() -> !entries.get(2).knowsEndpoint("e-2", false));
+        }
+    }
+
     @Test
     void testPeersKeepTheConfigurationAgeLow() {
         await(0, List.of("entry-1", "entry-2"));
--- a/gateway/src/test/java/org/jasminehub/gateway/experts/ExpertPlacementTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/experts/ExpertPlacementTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import org.jasminehub.core.era.EraTracker;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.identity.FailureDomain;
@@ -61,7 +62,7 @@
         for (int rank = 0; rank < SIZE; rank++) {
             BufferedHttpClient engine =
                     new BufferedHttpClient(new EndpointClient(loop, clock), group.address(rank), "engine");
-            RankAgentService agent = new RankAgentService(loop, clock, engine, events);
+            RankAgentService agent = new RankAgentService(loop, clock, engine, events, new EraTracker(clock));
             PeerServer server = PeerServer.start(loop, new EndpointAddress("127.0.0.1", 0), agent);
             loop.execute(agent::start);
             agentServers.add(server);
@@ -91,6 +92,7 @@
                 () -> LAYOUT,
                 new EndpointClient(loop, clock),
                 this::endpoints,
+                new EraTracker(clock),
                 isResponsible);
         loop.execute(coordinator::start);
     }
