A process that starts within a restore does not read its own fleet's registrations as proof

Cause: every change of the instance directory registered again, so instances wrote the new era at once instead of after the time in which lost records are written again, and the process that started then took that for proof that the store was complete. Ruled out: the peer's status (its version was higher, so it did not count as shared). Now the decision whether the store is complete is separate from whether a peer shared its state; only the first one puts an era into the registration, and nothing is registered before the registrations have been read.

--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -106,6 +106,7 @@
     private @Nullable CallerServer callers;
     private long clockDifferenceMillis;
     private long firstReadMillis = Long.MAX_VALUE;
+    private boolean isStoreComplete;
     private boolean isStoreReliable;
     private boolean isReady;
     private boolean isStopping;
@@ -201,7 +202,6 @@
                 retryBudget.setInstances(peers.maxInstances());
                 peers.onDirectoryChanged();
                 updateReadiness();
-                register();
             });
             peers.start(dispatcher::dispatchQueued);
             peers.setSlowdownSource(() -> experts.isActive() ? Optional.of(experts.slowEndpoints()) : Optional.empty());
@@ -299,14 +299,6 @@
                 .orElse(ExpertLayout.NONE);
     }
 
-    private void register() {
-        if (isStoreReliable) {
-            registration.registerInCurrentEra();
-        } else {
-            registration.registerWithoutEra();
-        }
-    }
-
     private void onEndpointsChanged() {
         dispatcher.dispatchQueued();
         updateReadiness();
@@ -339,20 +331,25 @@
         timer.runAfter(TICK_INTERVAL_MILLIS, this::tick);
     }
 
-    /** Re-evaluates whether the store can be relied on; once it can, the state only moves forward from there. */
+    /**
+     * Re-evaluates whether the store shows all records, or a peer has shared what it does not show; from then on the
+     * state of this process only moves forward.
+     */
     private void updateStoreReliability() {
-        if (isStoreReliable || configuration.inForce().isEmpty()) {
+        if (isStoreComplete || configuration.inForce().isEmpty()) {
             return;
         }
         long nowMillis = clock.monotonicMillis();
         firstReadMillis = Math.min(firstReadMillis, nowMillis);
-        isStoreReliable = StartupPolicy.mayRelyOnStore(
+        isStoreComplete = StartupPolicy.isStoreComplete(
                 eras.current().orElse(null),
                 instances.hasRead() ? Optional.of(instances.erasOfOthers()) : Optional.empty(),
-                peers.isInformed(),
                 nowMillis - firstReadMillis);
-        if (isStoreReliable && instances.hasRead()) {
-            register();
+        isStoreReliable = isStoreReliable || isStoreComplete || peers.isInformed();
+        if (isStoreComplete) {
+            registration.registerInCurrentEra();
+        } else if (instances.hasRead()) {
+            registration.registerWithoutEra();
         }
     }
 
--- a/gateway/src/main/java/org/jasminehub/gateway/control/InstanceRegistration.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/InstanceRegistration.java
@@ -57,16 +57,18 @@
      */
     private void registerAfterRewrite() {
         long delayMillis = eras.rewriteRemainingMillis() + random.nextLong(REWRITE_SPREAD_MILLIS);
-        timer.runAfter(delayMillis, () -> {
-            if (!eras.isRewriting()) {
-                registerInCurrentEra();
-            }
-        });
+        timer.runAfter(delayMillis, this::registerInCurrentEra);
     }
 
-    /** Registers with the era of the store, which states that all records of the store can be relied on. */
+    /**
+     * Registers with the era of the store, which states that the store shows all records. Does so only after the time
+     * in which records lost in a restore are written again.
+     */
     public void registerInCurrentEra() {
-        registerIn(eras.current().map(StoreEra::number).orElse(UNKNOWN_ERA));
+        registerIn(
+                eras.isRewriting()
+                        ? self.getStoreEra()
+                        : eras.current().map(StoreEra::number).orElse(UNKNOWN_ERA));
     }
 
     /** Registers without an era, because this process cannot tell yet whether the store's records are complete. */
