Groups have a coordinator each, on the most powerful instances; work of coordinators and statuses is bounded

Registrations are polled three times in a drain time instead of every 500 ms (2/3 s at 2 s, 1 s from 3 s on): calls to the store are priced on every site.

--- a/core/src/main/java/org/jasminehub/core/balance/EndpointLoads.java
+++ b/core/src/main/java/org/jasminehub/core/balance/EndpointLoads.java
@@ -1,6 +1,7 @@
 package org.jasminehub.core.balance;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.time.Clock;
@@ -24,9 +25,16 @@
     private final Clock clock;
     private final Map<EndpointId, Integer> ownCalls = new HashMap<>();
     private final Map<String, PeerLoads> loadsByPeer = new HashMap<>();
+
+    /**
+     * The sum of all peers' open calls. The choice of an endpoint compares all endpoints, so adding up the peers there
+     * would cost endpoints times instances for each call.
+     */
+    private final Map<EndpointId, Integer> peerCalls = new HashMap<>();
+
+    private long oldestReceivedMillis = Long.MAX_VALUE;
     private final Map<EndpointId, Failures> failures = new HashMap<>();
-    private Map<EndpointId, Double> slowdowns = Map.of();
-    private long slowdownsMillis;
+    private final Map<String, Slowdowns> slowdownsBySource = new HashMap<>();
 
     /** Creates a tracker without open calls. */
     public EndpointLoads(Clock clock) {
@@ -58,24 +66,59 @@
 
     /** Replaces the open calls last received from {@code peer}. */
     public void onPeerLoads(String peer, Map<EndpointId, Integer> calls) {
-        loadsByPeer.put(peer, new PeerLoads(clock.monotonicMillis(), Map.copyOf(calls)));
+        long nowMillis = clock.monotonicMillis();
+        Map<EndpointId, Integer> next = Map.copyOf(calls);
+        next.forEach((endpoint, count) -> peerCalls.merge(endpoint, count, Integer::sum));
+        PeerLoads previous = loadsByPeer.put(peer, new PeerLoads(nowMillis, next));
+        if (previous != null) {
+            subtract(previous);
+        }
+        oldestReceivedMillis = Math.min(oldestReceivedMillis, nowMillis);
     }
 
     /** Removes the open calls received from {@code peer}. */
     public void forgetPeer(String peer) {
-        loadsByPeer.remove(peer);
+        PeerLoads previous = loadsByPeer.remove(peer);
+        if (previous != null) {
+            subtract(previous);
+        }
+    }
+
+    private void subtract(PeerLoads loads) {
+        loads.calls()
+                .forEach((endpoint, count) -> peerCalls.computeIfPresent(
+                        endpoint, (id, total) -> total > count ? Integer.valueOf(total - count) : null));
+    }
+
+    private void forgetSilentPeers() {
+        long oldestAllowedMillis = clock.monotonicMillis() - MAX_PEER_AGE_MILLIS;
+        if (oldestReceivedMillis >= oldestAllowedMillis) {
+            return;
+        }
+        List.copyOf(loadsByPeer.entrySet()).stream()
+                .filter(entry -> entry.getValue().receivedMillis() < oldestAllowedMillis)
+                .forEach(entry -> forgetPeer(entry.getKey()));
+        oldestReceivedMillis = loadsByPeer.values().stream()
+                .mapToLong(PeerLoads::receivedMillis)
+                .min()
+                .orElse(Long.MAX_VALUE);
     }
 
-    /** Replaces the slowdown factors of slow endpoints, as detected here or received from a peer. */
-    public void onSlowdowns(Map<EndpointId, Double> slow) {
-        slowdowns = Map.copyOf(slow);
-        slowdownsMillis = clock.monotonicMillis();
+    /** Replaces the slowdown factors that the instance {@code source} has measured in the groups it coordinates. */
+    public void onSlowdowns(String source, Map<EndpointId, Double> slow) {
+        slowdownsBySource.put(source, new Slowdowns(clock.monotonicMillis(), Map.copyOf(slow)));
     }
 
     /** Returns the duration of work at {@code endpoint} relative to normal, or 1 if it is not known to be slow. */
     public double slowdown(EndpointId endpoint) {
-        boolean isFresh = clock.monotonicMillis() - slowdownsMillis <= MAX_PEER_AGE_MILLIS;
-        return isFresh ? slowdowns.getOrDefault(endpoint, 1.0) : 1.0;
+        long oldestMillis = clock.monotonicMillis() - MAX_PEER_AGE_MILLIS;
+        double slowdown = 1;
+        for (Slowdowns measured : slowdownsBySource.values()) {
+            if (measured.receivedMillis() >= oldestMillis) {
+                slowdown = Math.max(slowdown, measured.byEndpoint().getOrDefault(endpoint, 1.0));
+            }
+        }
+        return slowdown;
     }
 
     /** Returns the open calls of this instance. */
@@ -85,14 +128,8 @@
 
     /** Returns the known open calls at {@code endpoint}, from this instance and all peers with recent data. */
     public int openCalls(EndpointId endpoint) {
-        long oldestMillis = clock.monotonicMillis() - MAX_PEER_AGE_MILLIS;
-        int calls = ownCalls.getOrDefault(endpoint, 0);
-        for (PeerLoads view : loadsByPeer.values()) {
-            if (view.receivedMillis() >= oldestMillis) {
-                calls += view.calls().getOrDefault(endpoint, 0);
-            }
-        }
-        return calls;
+        forgetSilentPeers();
+        return ownCalls.getOrDefault(endpoint, 0) + peerCalls.getOrDefault(endpoint, 0);
     }
 
     /** Returns the decayed number of recent failures of {@code endpoint}; a failure decays within a few seconds. */
@@ -101,6 +138,8 @@
         return known == null ? 0 : known.weight(clock.monotonicMillis());
     }
 
+    private record Slowdowns(long receivedMillis, Map<EndpointId, Double> byEndpoint) {}
+
     private record PeerLoads(long receivedMillis, Map<EndpointId, Integer> calls) {}
 
     /** An exponentially decaying failure count; each success halves it. */
--- a/core/src/main/java/org/jasminehub/core/experts/placement/DemandWindow.java
+++ b/core/src/main/java/org/jasminehub/core/experts/placement/DemandWindow.java
@@ -18,10 +18,8 @@
  * <p>Not thread-safe.
  */
 public final class DemandWindow {
-    /**
-     * The interval at which the counts of each rank are read, which is also about the duration of a pass under load.
-     */
-    private static final long BUCKET_MILLIS = 100;
+    /** How much longer a bucket is than the interval of reports, so that it contains one report of nearly all ranks. */
+    private static final long BUCKET_MARGIN_MILLIS = 5;
 
     /** Enough passes to distinguish experts in high demand from the others. */
     private static final int MAX_BUCKETS = 5;
@@ -45,6 +43,7 @@
 
     private final int layers;
     private final int experts;
+    private final long bucketMillis;
     private final Deque<Bucket> closed = new ArrayDeque<>();
     private Bucket open;
     private long lastShiftMillis = Long.MIN_VALUE;
@@ -57,8 +56,13 @@
 
     private boolean isSettled;
 
-    /** Creates an empty window for a group with {@code experts} experts in each of {@code layers} layers. */
-    public DemandWindow(int layers, int experts, long nowMillis) {
+    /**
+     * Creates an empty window for a group with {@code experts} experts in each of {@code layers} layers.
+     *
+     * @param reportMillis the time between two reports of each rank
+     */
+    public DemandWindow(int layers, int experts, long reportMillis, long nowMillis) {
+        this.bucketMillis = reportMillis + BUCKET_MARGIN_MILLIS;
         this.layers = (int) Checks.positive("layers", layers);
         this.experts = (int) Checks.positive("experts", experts);
         this.open = new Bucket(nowMillis, new double[layers][experts]);
@@ -71,13 +75,16 @@
      */
     public void add(long nowMillis, long[] choices) {
         Checks.that(choices.length == size(), "choices", choices.length, size() + " counts");
-        if (nowMillis - open.startMillis() >= BUCKET_MILLIS) {
+        if (nowMillis - open.startMillis() >= bucketMillis) {
             closed.addLast(open);
             open = new Bucket(nowMillis, new double[layers][experts]);
             updateSettled(nowMillis);
         }
-        for (int index = 0; index < choices.length; index++) {
-            open.choices()[index / experts][index % experts] += choices[index];
+        int index = 0;
+        for (double[] layer : open.choices()) {
+            for (int expert = 0; expert < experts; expert++) {
+                layer[expert] += choices[index++];
+            }
         }
     }
 
--- a/core/src/test/java/org/jasminehub/core/balance/EndpointChoicePolicyTest.java
+++ b/core/src/test/java/org/jasminehub/core/balance/EndpointChoicePolicyTest.java
@@ -104,7 +104,7 @@
         @Test
         void testVerySlowEndpointReceivesNoCalls() {
             List<EndpointRecord> two = endpoints(2);
-            loads.onSlowdowns(Map.of(two.get(0).id(), 12.0));
+            loads.onSlowdowns("coordinator", Map.of(two.get(0).id(), 12.0));
             for (int call = 0; call < SLOTS; call++) {
                 assertEquals(two.get(1).id(), chosen(two));
                 loads.onSent(two.get(1).id());
--- a/core/src/test/java/org/jasminehub/core/experts/placement/DemandWindowTest.java
+++ b/core/src/test/java/org/jasminehub/core/experts/placement/DemandWindowTest.java
@@ -17,7 +17,7 @@
     private static final long[] FIRST = {700, 200, 100, 0};
     private static final long[] SECOND = {0, 100, 200, 700};
 
-    private final DemandWindow window = new DemandWindow(1, 4, 0);
+    private final DemandWindow window = new DemandWindow(1, 4, 95, 0);
     private long nowMillis;
 
     /** Adds one report with {@code choices} from every rank, spread over one interval. */
--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -16,7 +16,6 @@
 import org.jasminehub.core.balance.EndpointChoicePolicy;
 import org.jasminehub.core.balance.EndpointLoads;
 import org.jasminehub.core.era.EraTracker;
-import org.jasminehub.core.era.StartupPolicy;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.identity.FailureDomain;
@@ -41,6 +40,7 @@
 import org.jasminehub.gateway.control.InstanceDirectory;
 import org.jasminehub.gateway.control.InstanceRegistration;
 import org.jasminehub.gateway.control.PeerExchange;
+import org.jasminehub.gateway.control.StoreReliability;
 import org.jasminehub.gateway.experts.ExpertCoordinator;
 import org.jasminehub.gateway.net.CallerHandler;
 import org.jasminehub.gateway.net.CallerServer;
@@ -62,8 +62,13 @@
     /** A read waits up to 1.6 s for a new version, which keeps the known age far below the revocation bound. */
     private static final FollowerSettings CONFIGURATION_READS = new FollowerSettings(1_600, 0, 600);
 
-    /** Registrations change constantly, so they are polled; 500 ms is a quarter of the drain time. */
-    private static final FollowerSettings ENDPOINT_READS = new FollowerSettings(0, 500, 600);
+    /** Registrations change constantly, so they are polled several times within the drain time. */
+    private static final double ENDPOINT_READS_PER_DRAIN = 3;
+
+    /** Longest time between two polls, so that new and restarted endpoints receive calls soon. */
+    private static final long MAX_ENDPOINT_POLL_MILLIS = 1_000;
+
+    private static final long ENDPOINT_READ_TIMEOUT_MILLIS = 600;
 
     /** Other instances rarely start or stop, so a long poll may wait for several seconds. */
     private static final FollowerSettings INSTANCE_READS = new FollowerSettings(8_000, 0, 600);
@@ -98,6 +103,7 @@
     private final InstanceRegistration registration;
     private final InstanceDirectory instances;
     private final PeerExchange peers;
+    private final StoreReliability storeReliability;
     private final ExpertCoordinator experts;
     private final EraTracker eras;
     private final EndpointLoads loads;
@@ -105,9 +111,6 @@
     private final CallDispatcher dispatcher;
     private @Nullable CallerServer callers;
     private long clockDifferenceMillis;
-    private long firstReadMillis = Long.MAX_VALUE;
-    private boolean isStoreComplete;
-    private boolean isStoreReliable;
     private boolean isReady;
     private boolean isStopping;
 
@@ -125,7 +128,7 @@
                 new StoreClient(new StoreConnection(client, EndpointAddress.parse(settings.storeAddress())), eras);
         RandomGenerator random = new SplittableRandom(settings.instance().hashCode() ^ clock.wallMillis());
         this.configuration = new ConfigurationController(store, CONFIGURATION_READS, timer, clock, events, eras);
-        this.endpoints = new EndpointController(store, ENDPOINT_READS, timer, clock, events, eras);
+        this.endpoints = new EndpointController(store, endpointReads(settings), timer, clock, events, eras);
         this.registration = new InstanceRegistration(self(settings, clock), store, timer, events, eras, random);
         this.instances = new InstanceDirectory(registration, store, INSTANCE_READS, timer, clock, events, eras);
         this.loads = new EndpointLoads(clock);
@@ -142,6 +145,7 @@
                 timer,
                 clock,
                 events);
+        this.storeReliability = new StoreReliability(eras, instances, registration, peers::isInformed, clock);
         this.experts = new ExpertCoordinator(
                 loop,
                 clock,
@@ -152,7 +156,7 @@
                 client,
                 endpoints::all,
                 eras,
-                peers::isFirstByName);
+                peers::isCoordinator);
         this.retryBudget = new CallRetryBudget(clock, settings.repeatRatio(), settings.repeatReserve(), (long)
                 (settings.repeatWindowSeconds() * TimeUnit.SECONDS.toMillis(1)));
         this.dispatcher = new CallDispatcher(
@@ -168,6 +172,12 @@
                 events);
     }
 
+    private static FollowerSettings endpointReads(GatewaySettings settings) {
+        long pauseMillis =
+                Math.min(MAX_ENDPOINT_POLL_MILLIS, (long) (settings.drainMillis() / ENDPOINT_READS_PER_DRAIN));
+        return new FollowerSettings(0, pauseMillis, ENDPOINT_READ_TIMEOUT_MILLIS);
+    }
+
     private static InstanceRecord self(GatewaySettings settings, Clock clock) {
         EndpointAddress caller = EndpointAddress.parse(settings.callerAddress());
         return InstanceRecord.newBuilder()
@@ -177,6 +187,7 @@
                 .setPeerPort(EndpointAddress.parse(settings.peerAddress()).port())
                 .setFailureDomain(settings.failureDomain())
                 .setStartedWallMillis(clock.wallMillis())
+                .setProcessorCores(settings.processorCores())
                 .build();
     }
 
@@ -306,7 +317,7 @@
 
     @Override
     public Optional<RouteTable> inForce() {
-        return isStoreReliable ? configuration.inForce() : Optional.empty();
+        return storeReliability.isReliable() ? configuration.inForce() : Optional.empty();
     }
 
     @Override
@@ -331,34 +342,15 @@
         timer.runAfter(TICK_INTERVAL_MILLIS, this::tick);
     }
 
-    /**
-     * Re-evaluates whether the store shows all records, or a peer has shared what it does not show; from then on the
-     * state of this process only moves forward.
-     */
-    private void updateStoreReliability() {
-        if (isStoreComplete || configuration.inForce().isEmpty()) {
-            return;
-        }
-        long nowMillis = clock.monotonicMillis();
-        firstReadMillis = Math.min(firstReadMillis, nowMillis);
-        isStoreComplete = StartupPolicy.isStoreComplete(
-                eras.current().orElse(null),
-                instances.hasRead() ? Optional.of(instances.erasOfOthers()) : Optional.empty(),
-                nowMillis - firstReadMillis);
-        isStoreReliable = isStoreReliable || isStoreComplete || peers.isInformed();
-        if (isStoreComplete) {
-            registration.registerInCurrentEra();
-        } else if (instances.hasRead()) {
-            registration.registerWithoutEra();
-        }
-    }
-
     /** Re-evaluates whether this instance accepts callers. */
     private void updateReadiness() {
-        updateStoreReliability();
+        if (configuration.inForce().isPresent()) {
+            storeReliability.onConfigurationKnown();
+        }
         boolean isFresh = configuration.inForce().isPresent()
                 && configuration.ageMillis() < settings.revocationMillis() * FRESH_SHARE;
-        boolean isNowReady = isStoreReliable && isFresh && endpoints.ageMillis() != Long.MAX_VALUE && !isStopping;
+        boolean isNowReady =
+                storeReliability.isReliable() && isFresh && endpoints.ageMillis() != Long.MAX_VALUE && !isStopping;
         if (isNowReady != isReady) {
             isReady = isNowReady;
             events.emit(new ControlEvent(
--- a/gateway/src/main/java/org/jasminehub/gateway/Rehearsal.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/Rehearsal.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.jasminehub.core.event.EventSink;
+import org.jasminehub.core.experts.placement.CoordinatorChoice;
 import org.jasminehub.core.experts.placement.PlacementLimits;
 import org.jasminehub.core.experts.placement.PlacementPlanner;
 import org.jasminehub.core.experts.placement.ReplicaMap;
@@ -47,6 +48,9 @@
                 List.of(),
                 "127.0.0.1:1",
                 5_000,
+                2_000,
+                1,
+                1,
                 1,
                 1,
                 0.2,
@@ -55,6 +59,7 @@
         EntryProgram entry = new EntryProgram(settings, clock, events, metrics);
         entry.start();
         RouteTableAdapter.decode(SampleConfiguration.bytes());
+        CoordinatorChoice.coordinator("group", List.of(new CoordinatorChoice.Candidate("rehearsal", 1)));
         ReplicaMap map = new ReplicaMap(2, new int[][][] {{{0}, {1}}});
         PlacementPlanner.plan(map, new double[][] {{3, 1}}, new double[] {1, 1}, new PlacementLimits(2, 1, 1, 0));
         EndpointClient client = entry.client();
--- a/gateway/src/main/java/org/jasminehub/gateway/control/PeerExchange.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/PeerExchange.java
@@ -14,10 +14,12 @@
 import java.util.function.Supplier;
 import org.jasminehub.core.balance.EndpointLoads;
 import org.jasminehub.core.balance.StateAge;
+import org.jasminehub.core.balance.StatusIntervalPolicy;
 import org.jasminehub.core.era.DepartedEndpoint;
 import org.jasminehub.core.era.EraTracker;
 import org.jasminehub.core.era.StoreEra;
 import org.jasminehub.core.event.EventSink;
+import org.jasminehub.core.experts.placement.CoordinatorChoice;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.gateway.net.EndpointAddress;
@@ -40,8 +42,11 @@
  * <p>Must be used on the process's event loop only.
  */
 public final class PeerExchange implements PeerListener {
-    /** About the time between two calls to the same endpoint at high load. */
-    private static final long STATUS_INTERVAL_MILLIS = 80;
+    /** A confirmed age below this is far from the revocation bound, so peers need not lower it. */
+    private static final long CONFIRMATION_WANTED_MILLIS = 900;
+
+    /** The least by which a peer's confirmation must be newer to be worth a message. */
+    private static final long MIN_CONFIRMATION_GAIN_MILLIS = 200;
 
     /** Longest time between two status messages, so that peers can tell that this instance is alive. */
     private static final long HEARTBEAT_MILLIS = 240;
@@ -55,6 +60,9 @@
      */
     private static final long ISOLATION_TIMEOUT_MILLIS = 4_000;
 
+    /** Statuses whose echoes are still of use: those of the last second at the shortest interval. */
+    private static final int MAX_OPEN_TOKENS = 12;
+
     private final InstanceRegistration registration;
     private final InstanceDirectory directory;
     private final ConfigurationController configuration;
@@ -168,12 +176,17 @@
         return new ArrayList<>(accepting.values());
     }
 
-    /** Returns whether this instance has the lowest name among the live instances that accept callers. */
-    public boolean isFirstByName() {
-        String own = registration.self().getInstance();
-        return acceptsCallers.getAsBoolean()
-                && acceptingInstances().stream()
-                        .noneMatch(each -> each.getInstance().compareTo(own) < 0);
+    /** Returns whether this instance coordinates {@code group}, among the live instances that accept callers. */
+    public boolean isCoordinator(String group) {
+        if (!acceptsCallers.getAsBoolean()) {
+            return false;
+        }
+        List<CoordinatorChoice.Candidate> candidates = acceptingInstances().stream()
+                .map(each -> new CoordinatorChoice.Candidate(each.getInstance(), each.getProcessorCores()))
+                .toList();
+        return CoordinatorChoice.coordinator(group, candidates)
+                .filter(registration.self().getInstance()::equals)
+                .isPresent();
     }
 
     /** Returns whether an instance that accepts callers has shared its state, and this one is not behind it. */
@@ -200,7 +213,7 @@
         if (isChanged || clock.monotonicMillis() - lastSentMillis >= HEARTBEAT_MILLIS) {
             broadcast(next);
         }
-        timer.runAfter(STATUS_INTERVAL_MILLIS, this::tick);
+        timer.runAfter(StatusIntervalPolicy.intervalMillis(maxInstances()), this::tick);
     }
 
     private static PeerStatus withoutAges(PeerStatus status) {
@@ -211,7 +224,7 @@
         lastSent = status;
         lastSentMillis = clock.monotonicMillis();
         sentAtByToken.put(status.getToken(), clockReadings.now());
-        while (sentAtByToken.size() > PEER_TIMEOUT_MILLIS / STATUS_INTERVAL_MILLIS) {
+        while (sentAtByToken.size() > MAX_OPEN_TOKENS) {
             sentAtByToken.pollFirstEntry();
         }
         PeerEnvelope message = PeerEnvelope.newBuilder().setPeerStatus(status).build();
@@ -237,7 +250,7 @@
                         .setEndpointHash(endpoint.value().hashCode())
                         .setCalls(calls)));
         slowdownSource.get().ifPresent(slowdownByEndpoint -> {
-            loads.onSlowdowns(slowdownByEndpoint);
+            loads.onSlowdowns(registration.self().getInstance(), slowdownByEndpoint);
             status.setHasPaces(true);
             new TreeMap<>(slowdownByEndpoint)
                     .forEach((endpoint, pace) -> status.addPaces(EndpointPace.newBuilder()
@@ -269,13 +282,25 @@
     }
 
     private void onStatus(PeerConnection connection, PeerStatus status) {
+        long ageMillis = configuration.ageMillis();
+        if (status.getConfigurationAgeMillis() >= CONFIRMATION_WANTED_MILLIS
+                && ageMillis <= status.getConfigurationAgeMillis() - MIN_CONFIRMATION_GAIN_MILLIS) {
+            sendEcho(connection, status, ageMillis);
+        }
+        shareRestoreState(status);
+        onPeerState(connection, status);
+    }
+
+    private void sendEcho(PeerConnection connection, PeerStatus status, long ageMillis) {
         connection.send(PeerEnvelope.newBuilder()
                 .setPeerEcho(PeerEcho.newBuilder()
                         .setToken(status.getToken())
                         .setConfigurationVersion(version())
-                        .setConfigurationAgeMillis(configuration.ageMillis()))
+                        .setConfigurationAgeMillis(ageMillis))
                 .build());
-        shareRestoreState(status);
+    }
+
+    private void onPeerState(PeerConnection connection, PeerStatus status) {
         String name = status.getInstance().getInstance();
         PeerState previous = peers.put(
                 name, new PeerState(status.getInstance(), status.getAcceptsCallers(), clock.monotonicMillis()));
@@ -334,7 +359,7 @@
         });
         loads.onPeerLoads(name, calls);
         if (status.getHasPaces()) {
-            loads.onSlowdowns(slowdownByEndpoint);
+            loads.onSlowdowns(name, slowdownByEndpoint);
         }
         onLoadsChanged.run();
     }
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/ExpertCoordinator.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/ExpertCoordinator.java
@@ -1,16 +1,20 @@
 package org.jasminehub.gateway.experts;
 
 import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
+import java.util.TreeSet;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.jasminehub.core.era.EraTracker;
 import org.jasminehub.core.era.StoreEra;
 import org.jasminehub.core.event.EventSink;
+import org.jasminehub.core.experts.placement.CountSampling;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.serving.EndpointRecord;
 import org.jasminehub.core.serving.ExpertLayout;
@@ -51,13 +55,13 @@
     private final EventSink events;
     private final Supplier<List<InstanceRecord>> agents;
     private final Supplier<ExpertLayout> layout;
-    private final BooleanSupplier isResponsible;
+    private final Predicate<String> isCoordinator;
     private final Map<EndpointAddress, PeerLink> links = new HashMap<>();
     private final Map<String, GroupPlacement> groups = new HashMap<>();
     private final Supplier<List<EndpointRecord>> endpoints;
     private final EraTracker eras;
     private final DirectEngineAccess directEngines;
-    private boolean wasResponsible;
+    private Set<String> coordinated = Set.of();
     private long lastWatchMillis;
 
     /** Creates a coordinator that is inactive until {@link #start} is called. */
@@ -71,7 +75,7 @@
             EndpointClient client,
             Supplier<List<EndpointRecord>> endpoints,
             EraTracker eras,
-            BooleanSupplier isResponsible) {
+            Predicate<String> isCoordinator) {
         this.loop = loop;
         this.clock = clock;
         this.timer = timer;
@@ -81,29 +85,34 @@
         this.endpoints = endpoints;
         this.eras = eras;
         this.directEngines = new DirectEngineAccess(loop, clock, events, client, endpoints);
-        this.isResponsible = isResponsible;
+        this.isCoordinator = isCoordinator;
     }
 
-    /** Checks whether this instance is responsible, advances all groups if it is, and schedules the next check. */
+    /**
+     * Checks for which groups this instance is responsible, advances these groups, and schedules the next check.
+     *
+     * <p>Only agents of these groups are watched, because the reports of all ranks are too many for one instance.
+     */
     public void start() {
-        boolean isResponsibleNow = isResponsible.getAsBoolean() && layout.get().isPlaceable();
-        if (isResponsibleNow != wasResponsible) {
-            wasResponsible = isResponsibleNow;
+        Map<String, List<EndpointRecord>> ranksByGroup = coordinatedRanks();
+        boolean isResponsibleNow = !ranksByGroup.isEmpty();
+        if (!coordinated.equals(ranksByGroup.keySet())) {
+            coordinated = Set.copyOf(ranksByGroup.keySet());
             events.emit(new ExpertEvent(
                     ExpertEventKind.COORDINATION_CHANGED,
                     "",
                     0,
                     0,
-                    isResponsibleNow ? "places experts" : "places no experts"));
+                    isResponsibleNow
+                            ? "places experts of " + String.join(", ", new TreeSet<>(coordinated))
+                            : "places no experts"));
+            groups.keySet().retainAll(coordinated);
             if (!isResponsibleNow) {
-                links.values().forEach(PeerLink::close);
-                links.clear();
-                groups.clear();
                 directEngines.clear();
             }
         }
+        connect(ranksByGroup.values());
         if (isResponsibleNow) {
-            connect();
             sendWatches();
             groups.values().forEach(directEngines::refreshSilentRanks);
             groups.values().forEach(GroupPlacement::advance);
@@ -111,9 +120,26 @@
         timer.runAfter(isResponsibleNow ? TICK_MILLIS : IDLE_TICK_MILLIS, this::start);
     }
 
+    /** Returns the registered ranks of each group for which this instance is responsible. */
+    private Map<String, List<EndpointRecord>> coordinatedRanks() {
+        Map<String, List<EndpointRecord>> ranksByGroup = new HashMap<>();
+        if (layout.get().isPlaceable()) {
+            for (EndpointRecord endpoint : endpoints.get()) {
+                GroupSeat seat = endpoint.seat();
+                if (seat != null) {
+                    ranksByGroup
+                            .computeIfAbsent(seat.group(), group -> new ArrayList<>())
+                            .add(endpoint);
+                }
+            }
+            ranksByGroup.keySet().removeIf(isCoordinator.negate());
+        }
+        return ranksByGroup;
+    }
+
     /** Returns whether this instance places experts. */
     public boolean isActive() {
-        return wasResponsible;
+        return !coordinated.isEmpty();
     }
 
     /** Returns the slowdown of each endpoint whose engine reports that it is slow. */
@@ -132,10 +158,17 @@
         return slow;
     }
 
-    private void connect() {
+    /** Connects to the agents of {@code groupRanks}; an agent runs on the machine of its engine. */
+    private void connect(Collection<List<EndpointRecord>> groupRanks) {
+        Set<String> hosts = new HashSet<>();
+        groupRanks.forEach(ranks -> ranks.forEach(rank -> hosts.add(rank.host())));
         Set<EndpointAddress> currentAddresses = new HashSet<>();
-        for (InstanceRecord agent : agents.get()) {
-            currentAddresses.add(new EndpointAddress(agent.getHost(), agent.getPeerPort()));
+        if (!hosts.isEmpty()) {
+            for (InstanceRecord agent : agents.get()) {
+                if (hosts.contains(agent.getHost())) {
+                    currentAddresses.add(new EndpointAddress(agent.getHost(), agent.getPeerPort()));
+                }
+            }
         }
         for (EndpointAddress address : currentAddresses) {
             links.computeIfAbsent(address, each -> new PeerLink(loop, each, new AgentMessageHandler()));
@@ -154,13 +187,27 @@
             return;
         }
         lastWatchMillis = clock.monotonicMillis();
-        links.values().forEach(link -> link.send(watchMessage()));
+        PeerEnvelope watch = watchMessage();
+        links.values().forEach(link -> link.send(watch));
+    }
+
+    private long countsIntervalMillis() {
+        ExpertLayout experts = layout.get();
+        int largestGroup = endpoints.get().stream()
+                .mapToInt(endpoint ->
+                        endpoint.seat() == null ? 0 : endpoint.seat().size())
+                .max()
+                .orElse(0);
+        return CountSampling.intervalMillis(largestGroup, experts.layers(), experts.experts());
     }
 
     private PeerEnvelope watchMessage() {
         long era = eras.current().map(StoreEra::number).orElse(0L);
         return PeerEnvelope.newBuilder()
-                .setRankWatch(RankWatch.newBuilder().setWithCounts(true).setStoreEra(era))
+                .setRankWatch(RankWatch.newBuilder()
+                        .setWithCounts(true)
+                        .setStoreEra(era)
+                        .setCountsIntervalMillis((int) countsIntervalMillis()))
                 .build();
     }
 
@@ -177,10 +224,13 @@
         @Override
         public void onMessage(PeerConnection connection, PeerEnvelope message) {
             if (message.hasRankStatus() && !message.getRankStatus().getGroup().isEmpty()) {
-                groups.computeIfAbsent(
-                                message.getRankStatus().getGroup(),
-                                name -> new GroupPlacement(name, clock, events, layout, directEngines::messenger))
-                        .onStatus(messenger, message.getRankStatus(), false);
+                if (coordinated.contains(message.getRankStatus().getGroup())) {
+                    groups.computeIfAbsent(
+                                    message.getRankStatus().getGroup(),
+                                    name -> new GroupPlacement(
+                                            name, clock, timer, events, layout, directEngines::messenger))
+                            .onStatus(messenger, message.getRankStatus(), false);
+                }
             } else if (message.hasRankOrderReply()) {
                 groups.values().forEach(group -> group.onReply(messenger, message.getRankOrderReply()));
             }
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/ExpertCountDeltas.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/ExpertCountDeltas.java
@@ -1,22 +1,26 @@
 package org.jasminehub.gateway.experts;
 
-import java.util.List;
+import org.jasminehub.wire.generated.RankStatus;
 import org.jspecify.annotations.Nullable;
 
 /** Computes the increases of one rank's cumulative expert counts. Not thread-safe. */
 final class ExpertCountDeltas {
-    private List<Long> lastCounts = List.of();
+    private long[] lastCounts = new long[0];
 
     /** Returns the increase of each count since the previous call, null if the counts cannot be compared. */
-    long @Nullable [] update(List<Long> counts) {
-        List<Long> previous = lastCounts;
+    long @Nullable [] update(RankStatus status) {
+        long[] previous = lastCounts;
+        long[] counts = new long[status.getExpertCountsCount()];
+        for (int index = 0; index < counts.length; index++) {
+            counts[index] = status.getExpertCounts(index);
+        }
         lastCounts = counts;
-        if (previous.size() != counts.size()) {
+        if (previous.length != counts.length) {
             return null;
         }
-        long[] increases = new long[counts.size()];
+        long[] increases = new long[counts.length];
         for (int index = 0; index < increases.length; index++) {
-            increases[index] = counts.get(index) - previous.get(index);
+            increases[index] = counts[index] - previous[index];
             if (increases[index] < 0) {
                 // The rank has restarted and counts from zero.
                 return null;
@@ -26,6 +30,6 @@
     }
 
     void clear() {
-        lastCounts = List.of();
+        lastCounts = new long[0];
     }
 }
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/GroupPlacement.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/GroupPlacement.java
@@ -10,6 +10,7 @@
 import java.util.function.Supplier;
 import java.util.stream.IntStream;
 import org.jasminehub.core.event.EventSink;
+import org.jasminehub.core.experts.placement.CountSampling;
 import org.jasminehub.core.experts.placement.DemandWindow;
 import org.jasminehub.core.experts.placement.MapChangePolicy;
 import org.jasminehub.core.experts.placement.PlacementLimits;
@@ -20,6 +21,7 @@
 import org.jasminehub.core.experts.placement.ReplicaMap;
 import org.jasminehub.core.serving.ExpertLayout;
 import org.jasminehub.core.time.Clock;
+import org.jasminehub.gateway.control.DelayedRunner;
 import org.jasminehub.platform.hosted.EngineAdapter;
 import org.jasminehub.wire.generated.PeerEnvelope;
 import org.jasminehub.wire.generated.RankOrderReply;
@@ -60,6 +62,7 @@
 
     private final String name;
     private final Clock clock;
+    private final EvaluationThrottle throttle;
     private final EventSink events;
     private final Supplier<ExpertLayout> layout;
     private final DirectMessengerLookup directMessengers;
@@ -81,12 +84,14 @@
     GroupPlacement(
             String name,
             Clock clock,
+            DelayedRunner timer,
             EventSink events,
             Supplier<ExpertLayout> layout,
             DirectMessengerLookup directMessengers) {
         this.directMessengers = directMessengers;
         this.name = name;
         this.clock = clock;
+        this.throttle = new EvaluationThrottle(clock, timer, this::advance);
         this.events = events;
         this.layout = layout;
         this.margin = new HoldMargin(clock);
@@ -107,18 +112,19 @@
         TrackedRank rank = ranks.computeIfAbsent(status.getRank(), TrackedRank::new);
         long @Nullable [] chosen = rank.onStatus(connection, status, isDirect, clock.monotonicMillis());
         if (chosen != null) {
-            recordDemand(chosen);
+            recordDemand(chosen, status.getGroupSize());
         }
-        advance();
+        throttle.onReport(status.getGroupSize());
     }
 
-    private void recordDemand(long[] chosen) {
+    private void recordDemand(long[] chosen, int groupSize) {
         ExpertLayout experts = layout.get();
         if (!experts.isPlaceable() || chosen.length != experts.layers() * experts.experts()) {
             return;
         }
         if (demand == null || demand.size() != chosen.length) {
-            demand = new DemandWindow(experts.layers(), experts.experts(), clock.monotonicMillis());
+            long reportMillis = CountSampling.intervalMillis(groupSize, experts.layers(), experts.experts());
+            demand = new DemandWindow(experts.layers(), experts.experts(), reportMillis, clock.monotonicMillis());
         }
         demand.add(clock.monotonicMillis(), chosen);
     }
@@ -206,6 +212,7 @@
 
     /** Sends the orders that are due, and plans a change if none is in progress. */
     void advance() {
+        throttle.onEvaluated();
         List<RankView> views = freshViews();
         if (views.isEmpty()) {
             return;
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/RankAgent.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/RankAgent.java
@@ -55,6 +55,7 @@
     private RankStatus lastSent = status;
     private long lastSentMillis;
     private long lastCountsMillis;
+    private long requestedCountsMillis;
     private boolean isUnreadable;
     private boolean hasFreshCounts;
     private String holdingsKey = "";
@@ -116,7 +117,8 @@
             readHoldings(key);
         }
         status = next.build();
-        if (watchers.containsValue(true) && nowMillis() - lastCountsMillis >= COUNTS_INTERVAL_MILLIS) {
+        if (watchers.containsValue(true)
+                && nowMillis() - lastCountsMillis >= Math.max(COUNTS_INTERVAL_MILLIS, requestedCountsMillis)) {
             lastCountsMillis = nowMillis();
             readCounts();
         }
@@ -196,6 +198,7 @@
     /** Handles a message of a coordinator; a watch message registers the coordinator as a watcher. */
     void onMessage(RankMessenger coordinator, PeerEnvelope message) {
         if (message.hasRankWatch()) {
+            requestedCountsMillis = message.getRankWatch().getCountsIntervalMillis();
             boolean isNew = watchers.put(coordinator, message.getRankWatch().getWithCounts()) == null;
             if (isNew) {
                 lastSent = RankStatus.getDefaultInstance();
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/TrackedRank.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/TrackedRank.java
@@ -71,8 +71,10 @@
         }
         connection = from;
         lastStatusMillis = nowMillis;
-        status = next;
-        return next.getExpertCountsCount() > 0 ? counts.update(next.getExpertCountsList()) : null;
+        status = next.getExpertCountsCount() > 0
+                ? next.toBuilder().clearExpertCounts().build()
+                : next;
+        return next.getExpertCountsCount() > 0 ? counts.update(next) : null;
     }
 
     /**
--- a/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
@@ -96,8 +96,11 @@
                 List.of(),
                 store.address(),
                 5_000,
+                2_000,
                 GRACE_SECONDS,
                 5,
+                1,
+                1,
                 0.2,
                 60,
                 10);
--- a/gateway/src/test/java/org/jasminehub/gateway/experts/ExpertPlacementTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/experts/ExpertPlacementTest.java
@@ -93,7 +93,7 @@
                 new EndpointClient(loop, clock),
                 this::endpoints,
                 new EraTracker(clock),
-                isResponsible);
+                group -> isResponsible.getAsBoolean());
         loop.execute(coordinator::start);
     }
 
--- a/gateway/src/test/java/org/jasminehub/gateway/experts/GroupPlacementTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/experts/GroupPlacementTest.java
@@ -5,8 +5,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.jasminehub.core.serving.ExpertLayout;
 import org.jasminehub.core.time.ManualClock;
+import org.jasminehub.gateway.control.DelayedRunner;
 import org.jasminehub.wire.generated.LayerExperts;
 import org.jasminehub.wire.generated.RankOrderKind;
 import org.jasminehub.wire.generated.RankOrderReply;
@@ -27,6 +29,8 @@
     private static final ExpertLayout LAYOUT = new ExpertLayout(1, 2, 2, 1, 1, 0.85);
 
     private final ManualClock clock = new ManualClock(1_000_000);
+    private final List<Runnable> scheduled = new ArrayList<>();
+    private final DelayedRunner timer = (delayMillis, action) -> scheduled.add(action);
     private final List<RankOrderRequest> direct = new ArrayList<>();
     private final List<List<RankOrderRequest>> viaAgent = List.of(new ArrayList<>(), new ArrayList<>());
     private final List<RankMessenger> agents =
@@ -47,7 +51,7 @@
                 .setIsOpen(true)
                 .setStep(STEP)
                 .setPreparedVersion(PREPARED)
-                .addLayers(LayerExperts.newBuilder().addExperts(rank));
+                .addLayers(LayerExperts.newBuilder().addExperts(rank % SIZE));
     }
 
     private static List<RankOrderKind> kinds(List<RankOrderRequest> orders) {
@@ -65,12 +69,52 @@
 
     @BeforeEach
     void reportAllRanksPrepared() {
-        placement = new GroupPlacement("g", clock, event -> {}, () -> LAYOUT, (group, rank) -> directMessenger);
+        placement = new GroupPlacement("g", clock, timer, event -> {}, () -> LAYOUT, (group, rank) -> directMessenger);
         for (int rank = 0; rank < SIZE; rank++) {
             placement.onStatus(agents.get(rank), status(rank).build(), false);
         }
     }
 
+    /** A group whose ranks report more often than all of them can be evaluated. */
+    @Nested
+    final class LargeGroup {
+        private static final int LARGE_SIZE = 64;
+
+        @Test
+        void testReportsThatArriveTogetherAreEvaluatedOnce() {
+            AtomicInteger layoutReads = new AtomicInteger();
+            GroupPlacement large = new GroupPlacement(
+                    "g",
+                    clock,
+                    timer,
+                    event -> {},
+                    () -> {
+                        layoutReads.incrementAndGet();
+                        return LAYOUT;
+                    },
+                    (group, rank) -> directMessenger);
+            scheduled.clear();
+            for (int round = 0; round < 3; round++) {
+                for (int rank = 0; rank < LARGE_SIZE; rank++) {
+                    large.onStatus(
+                            agents.get(0),
+                            status(rank)
+                                    .setGroupSize(LARGE_SIZE)
+                                    .setPreparedVersion(0)
+                                    .build(),
+                            false);
+                }
+            }
+            // The layout is read once for each plan that is considered.
+            assertEquals(0, layoutReads.get());
+            assertEquals(1, scheduled.size());
+            clock.advanceMillis(LARGE_SIZE / 4);
+            scheduled.get(0).run();
+
+            assertEquals(1, layoutReads.get());
+        }
+    }
+
     @Nested
     final class AfterAnAcceptedHold {
         @BeforeEach
