Bytes without end are bounded in refusals, events and reports

EndlessBytesTest sends up to 200 MB over real sockets. Failed before: the body of an answer marked as not run was buffered whole (200 MB accepted), an event without an end grew in memory until the caller left, and so did a report of an engine or a response of the store. Passed before, and are kept as tests: a head without end, bytes that are no answer, bytes behind a complete answer, and a body without end to a caller that does not read (the back pressure of the caller's connection holds). Now: a refusal counts once its head says so and 256 KiB of its body have come; an event may have 256 KiB; a report or response of the store 4 MiB. Each closes the connection; accepted are less than 48 MB in each test, of which the socket buffers are most.

--- a/core/src/main/java/org/jasminehub/core/stream/EventSplitter.java
+++ b/core/src/main/java/org/jasminehub/core/stream/EventSplitter.java
@@ -22,6 +22,9 @@
 
     private static final int INITIAL_BUFFER_BYTES = 256;
 
+    /** Events contain a few tokens; this leaves room for large ones without much memory for each stream. */
+    private static final int MAX_EVENT_BYTES = 256 << 10;
+
     /** The bytes received so far of the current event, followed by unused space. */
     private byte[] buffer = new byte[INITIAL_BUFFER_BYTES];
 
@@ -29,6 +32,11 @@
     private int lineStart;
     private @Nullable Long id;
 
+    /** Returns whether the current event is larger than any valid one, because its end may never be sent. */
+    public boolean isEventTooLarge() {
+        return eventLength > MAX_EVENT_BYTES;
+    }
+
     /** Adds the next bytes and returns the events that they complete. */
     public List<StreamEvent> take(byte[] bytes) {
         List<StreamEvent> completed = new ArrayList<>();
--- a/gateway/src/main/java/org/jasminehub/gateway/call/BufferedRelay.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/BufferedRelay.java
@@ -48,6 +48,11 @@
             call.answer().part(bytes);
             return;
         }
+        if (isNotRun && buffer.size() + bytes.length > MAX_BUFFERED_BYTES) {
+            // The head already states that the call did not run; the rest of the body may have no end.
+            end();
+            return;
+        }
         buffer.writeBytes(bytes);
         if (buffer.size() > MAX_BUFFERED_BYTES && headers != null && !isNotRun) {
             call.answer().begin(status, headers, contentLength);
--- a/gateway/src/main/java/org/jasminehub/gateway/call/StreamRelay.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/StreamRelay.java
@@ -50,7 +50,9 @@
             }
             attempt.onProgress();
         }
-        if (!call.answer().isWritable()) {
+        if (splitter.isEventTooLarge()) {
+            attempt.fail(AttemptEnd.MAY_HAVE_RUN, "event is too large");
+        } else if (!call.answer().isWritable()) {
             attempt.setReading(false);
         }
     }
--- a/gateway/src/main/java/org/jasminehub/gateway/net/BufferedHttpClient.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/BufferedHttpClient.java
@@ -18,6 +18,9 @@
 
 /** Makes small HTTP calls and buffers their complete responses. A call that times out closes its connection. */
 public final class BufferedHttpClient {
+    /** Several times the largest response of the store or an engine; a faulty peer may send bytes without end. */
+    private static final int MAX_RESPONSE_BYTES = 4 << 20;
+
     private final EndpointClient client;
     private final EndpointAddress address;
     private final String serviceName;
@@ -49,13 +52,15 @@
         }
         CompletableFuture<Response> result = new CompletableFuture<>();
         Exchange exchange = client.send(address, request, ConnectionUse.KEPT_OR_NEW, new ResponseCollector(result));
+        result.whenComplete((response, failure) -> {
+            if (failure != null) {
+                exchange.cancel();
+            }
+        });
         ScheduledFuture<?> timeout = client.loop()
                 .schedule(
-                        () -> {
-                            exchange.cancel();
-                            result.completeExceptionally(new PlatformException(
-                                    serviceName, "no response within " + timeoutMillis + " ms", null));
-                        },
+                        () -> result.completeExceptionally(new PlatformException(
+                                serviceName, "no response within " + timeoutMillis + " ms", null)),
                         timeoutMillis,
                         TimeUnit.MILLISECONDS);
         result.whenComplete((response, failure) -> timeout.cancel(false));
@@ -81,6 +86,11 @@
 
         @Override
         public void onBody(byte[] part) {
+            if (body.size() + part.length > MAX_RESPONSE_BYTES) {
+                result.completeExceptionally(new PlatformException(
+                        serviceName, "response is larger than " + MAX_RESPONSE_BYTES + " bytes", null));
+                return;
+            }
             body.writeBytes(part);
         }
 
