Tests for what went wrong for operators of similar systems; agents log a reload

A rank agent ignored SIGHUP without a word; it now checks the file and logs the outcome as entry instances do.

--- a/gateway/src/main/java/org/jasminehub/gateway/Main.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/Main.java
@@ -112,7 +112,9 @@
         program.start();
         stopOnShutdown(program::stop, log);
         // Without a handler, SIGHUP would end the JVM.
-        Signal.handle(new Signal("HUP"), signal -> reload(path, settings, events));
+        Signal.handle(
+                new Signal("HUP"),
+                signal -> reload(path, settings.instance(), settings, GatewaySettings.class, events));
         return EXIT_OK;
     }
 
@@ -125,7 +127,8 @@
         RankAgentProgram program = new RankAgentProgram(settings, clock, log);
         program.start();
         stopOnShutdown(program::stop, log);
-        Signal.handle(new Signal("HUP"), signal -> {});
+        Signal.handle(
+                new Signal("HUP"), signal -> reload(path, settings.instance(), settings, RankAgentSettings.class, log));
         return EXIT_OK;
     }
 
@@ -139,14 +142,14 @@
         Runtime.getRuntime().addShutdownHook(hook);
     }
 
-    private static void reload(Path path, GatewaySettings current, EventSink events) {
+    private static <T> void reload(Path path, String instance, T current, Class<T> type, EventSink events) {
         String outcome;
         try {
-            GatewaySettings reloaded = new SettingsLoader().load(path, GatewaySettings.class);
+            T reloaded = new SettingsLoader().load(path, type);
             outcome = reloaded.equals(current) ? "no changes" : "changes take effect after a restart";
         } catch (JasminehubException e) {
             outcome = "keeping the previous settings: " + e.getMessage();
         }
-        events.emit(new ControlEvent(ControlEventKind.SETTINGS_RELOADED, current.instance(), outcome, 0));
+        events.emit(new ControlEvent(ControlEventKind.SETTINGS_RELOADED, instance, outcome, 0));
     }
 }
--- a/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
@@ -79,6 +79,10 @@
     private final EntryProgram entry;
 
     GatewayHarness() {
+        this(GRACE_SECONDS);
+    }
+
+    GatewayHarness(double graceSeconds) {
         storeLoop = new MultiThreadIoEventLoopGroup(
                         1, new DefaultThreadFactory("store", true), NioIoHandler.newFactory())
                 .next();
@@ -97,7 +101,7 @@
                 store.address(),
                 5_000,
                 2_000,
-                GRACE_SECONDS,
+                graceSeconds,
                 5,
                 1,
                 1,
--- a/gateway/src/test/java/org/jasminehub/gateway/StreamsTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/StreamsTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -31,6 +33,77 @@
             return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
         }
 
+        /** Returns a reply that sends one byte of an event now and then until its connection is closed. */
+        private ScriptedEndpoint.Reply drip(int firstId, long pauseMillis) {
+            return (request, socket) -> {
+                events(firstId, firstId, "", false).answer(request, socket);
+                while (true) {
+                    ScriptedEndpoint.write(socket, chunk("d"));
+                    LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(pauseMillis));
+                }
+            };
+        }
+
+        @Test
+        void testAStreamThatOnlyDripsIsGivenUpAndResumedElsewhere() throws Exception {
+            serveWithBothEndpoints();
+            script.add(drip(1, 50));
+            script.add(events(2, 3, "", true));
+
+            String answer = gateway.exchange(stream("r-1"));
+
+            assertTrue(answer.contains("data: e3") && answer.endsWith("0\r\n\r\n"), answer);
+        }
+
+        @Test
+        void testAStreamThatOnlyDripsEndsWithItsRoute() throws Exception {
+            serveWithOneEndpoint();
+            script.add(drip(1, 50));
+            script.add(drip(2, 50));
+
+            String answer = gateway.exchange(stream("r-1"));
+
+            assertTrue(answer.contains("data: e1") && !answer.endsWith("0\r\n\r\n"), answer);
+        }
+
+        @Test
+        void testASlowButSoundStreamIsNotCut() throws Exception {
+            serveWithOneEndpoint();
+            script.add((request, socket) -> {
+                events(1, 1, "", false).answer(request, socket);
+                for (int id = 2; id <= 5; id++) {
+                    LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(600));
+                    ScriptedEndpoint.write(socket, chunk("id: " + id + "\ndata: e" + id + "\n\n"));
+                }
+                ScriptedEndpoint.write(socket, "0\r\n\r\n");
+                return true;
+            });
+
+            String answer = gateway.exchange(stream("r-1"));
+
+            assertTrue(answer.contains("data: e5") && answer.endsWith("0\r\n\r\n"), answer);
+            assertEquals(1, requests());
+        }
+
+        @Test
+        void testAStreamOfAnEndpointThatIsNoLongerRegisteredIsNotStartedAgain() throws Exception {
+            serveWithBothEndpoints();
+            script.add((request, socket) -> {
+                events(1, 1, "", false).answer(request, socket);
+                gateway.store().put("keyed.servers", "e-1", "");
+                gateway.store().put("keyed.servers", "e-2", "");
+                GatewayHarness.await(() -> !gateway.entry().knowsEndpoint("e-1", false)
+                        && !gateway.entry().knowsEndpoint("e-2", false));
+                ScriptedEndpoint.write(socket, chunk("id: 2\ndata: e2\n\n") + "0\r\n\r\n");
+                return true;
+            });
+
+            String answer = gateway.exchange(stream("r-1"));
+
+            assertTrue(answer.contains("data: e2") && answer.endsWith("0\r\n\r\n"), answer);
+            assertEquals(1, requests());
+        }
+
         @Test
         void testAStreamCutInsideAnEventResumesElsewhereWithoutGapsOrDuplicates() throws Exception {
             serveWithBothEndpoints();
