--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -322,10 +322,14 @@
 
     @Override
     public long ageMillis() {
+        // A suspension or a clock step makes the configuration look old until it is read again, so calls must not wait
+        // for the next tick.
+        compareClocks();
         return configuration.ageMillis();
     }
 
-    private void tick() {
+    /** Reads everything again if the clocks show that the process was suspended or that the wall clock was stepped. */
+    private void compareClocks() {
         long differenceMillis = clock.wallMillis() - clock.monotonicMillis();
         if (Math.abs(differenceMillis - clockDifferenceMillis) > SUSPENSION_THRESHOLD_MILLIS) {
             events.emit(new ControlEvent(
@@ -337,6 +341,10 @@
             endpoints.refresh();
         }
         clockDifferenceMillis = differenceMillis;
+    }
+
+    private void tick() {
+        compareClocks();
         client.closeIdle();
         updateReadiness();
         timer.runAfter(TICK_INTERVAL_MILLIS, this::tick);
