Concurrency is limited group by group

Cause: the limit of open calls came from the mean pause of all streams of the service, so a slow group kept calls from the groups that had room, while it got more than it could run. Not measured yet.

--- a/core/src/main/java/org/jasminehub/core/balance/EndpointChoicePolicy.java
+++ b/core/src/main/java/org/jasminehub/core/balance/EndpointChoicePolicy.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.identity.FailureDomain;
@@ -37,12 +38,13 @@
     }
 
     /**
-     * Returns the least loaded endpoint, or empty if another call would take every one above {@code maxCallsPerSlot}.
+     * Returns the least loaded endpoint, or empty if another call would take every one above its limit.
      *
      * @param avoided endpoints that already failed this call; they are chosen only if no other endpoint has room
+     * @param maxCallsPerSlot the limit of an endpoint
      */
     public Optional<EndpointRecord> choose(
-            List<EndpointRecord> candidates, Set<EndpointId> avoided, double maxCallsPerSlot) {
+            List<EndpointRecord> candidates, Set<EndpointId> avoided, ToDoubleFunction<EndpointId> maxCallsPerSlot) {
         Optional<EndpointRecord> untried = best(
                 candidates.stream()
                         .filter(candidate -> !avoided.contains(candidate.id()))
@@ -51,7 +53,8 @@
         return untried.isPresent() || avoided.isEmpty() ? untried : best(candidates, maxCallsPerSlot);
     }
 
-    private Optional<EndpointRecord> best(List<EndpointRecord> candidates, double maxCallsPerSlot) {
+    private Optional<EndpointRecord> best(
+            List<EndpointRecord> candidates, ToDoubleFunction<EndpointId> maxCallsPerSlot) {
         EndpointRecord best = null;
         double bestScore = Double.MAX_VALUE;
         for (EndpointRecord candidate : candidates) {
@@ -59,8 +62,8 @@
             double slowdown = loads.slowdown(candidate.id());
             double open = loads.openCalls(candidate.id());
             double load = open * slowdown / candidate.slots();
-            if (open >= candidate.slots() * maxCallsPerSlot
-                    || (open + 1) * slowdown > candidate.slots() * maxCallsPerSlot) {
+            double maxCalls = candidate.slots() * maxCallsPerSlot.applyAsDouble(candidate.id());
+            if (open >= maxCalls || (open + 1) * slowdown > maxCalls) {
                 continue;
             }
             double score = load
--- a/core/src/test/java/org/jasminehub/core/balance/EndpointChoicePolicyTest.java
+++ b/core/src/test/java/org/jasminehub/core/balance/EndpointChoicePolicyTest.java
@@ -53,7 +53,7 @@
             for (int call = 0; call < CALLS; call++) {
                 int instance = call % INSTANCES;
                 EndpointRecord chosen = policy(loads.get(instance), call)
-                        .choose(all, Set.of(), 1.0)
+                        .choose(all, Set.of(), endpoint -> 1.0)
                         .orElseThrow();
                 loads.get(instance).onSent(chosen.id());
                 total.merge(chosen.id(), 1, Integer::sum);
@@ -84,7 +84,7 @@
 
         private EndpointId chosen(List<EndpointRecord> candidates) {
             return policy(loads, 1)
-                    .choose(candidates, Set.of(), 1.0)
+                    .choose(candidates, Set.of(), endpoint -> 1.0)
                     .orElseThrow()
                     .id();
         }
@@ -110,7 +110,7 @@
                 loads.onSent(two.get(1).id());
             }
 
-            assertTrue(policy(loads, 1).choose(two, Set.of(), 1.0).isEmpty());
+            assertTrue(policy(loads, 1).choose(two, Set.of(), endpoint -> 1.0).isEmpty());
         }
 
         @Test
@@ -120,13 +120,13 @@
             assertEquals(
                     two.get(1).id(),
                     policy(loads, 1)
-                            .choose(two, Set.of(two.get(0).id()), 1.0)
+                            .choose(two, Set.of(two.get(0).id()), endpoint -> 1.0)
                             .orElseThrow()
                             .id());
             assertEquals(
                     two.get(0).id(),
                     policy(loads, 1)
-                            .choose(two.subList(0, 1), Set.of(two.get(0).id()), 1.0)
+                            .choose(two.subList(0, 1), Set.of(two.get(0).id()), endpoint -> 1.0)
                             .orElseThrow()
                             .id());
         }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
@@ -10,13 +10,13 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 import org.jasminehub.core.balance.AttemptEnd;
 import org.jasminehub.core.balance.CallRetryBudget;
 import org.jasminehub.core.balance.EndpointChoicePolicy;
 import org.jasminehub.core.balance.EndpointLoads;
 import org.jasminehub.core.balance.GroupBackoff;
-import org.jasminehub.core.balance.StreamConcurrencyLimit;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.serving.EndpointRecord;
@@ -116,22 +116,17 @@
         return choicePolicy.choose(serving, call.triedEndpoints(), maxCallsPerSlot(call, serving));
     }
 
-    private double maxCallsPerSlot(RunningCall call, List<EndpointRecord> serving) {
+    private ToDoubleFunction<EndpointId> maxCallsPerSlot(RunningCall call, List<EndpointRecord> serving) {
         ServiceProfile profile = call.profile();
         double limit = concurrency.maxCallsPerSlot(profile);
         EngineProfile engine = profile == null ? null : profile.engine();
         if (engine == null) {
-            return limit;
+            return endpoint -> limit;
         }
-        double open = 0;
-        double slots = 0;
-        for (EndpointRecord endpoint : serving) {
-            open += loads.openCalls(endpoint.id());
-            slots += endpoint.slots();
-        }
-        StreamConcurrencyLimit concurrencyLimit = queue(call.service()).concurrencyLimit();
-        return Math.min(
-                limit, concurrencyLimit.callsPerSlot(engine, call.route().maxPauseMillis(), open / Math.max(1, slots)));
+        Map<EndpointId, Double> callsPerSlot = queue(call.service())
+                .concurrencyLimits()
+                .callsPerSlot(engine, call.route().maxPauseMillis(), serving, loads::openCalls);
+        return endpoint -> Math.min(limit, callsPerSlot.getOrDefault(endpoint, limit));
     }
 
     private ServiceQueue queue(String service) {
@@ -193,7 +188,7 @@
      * @param pauseMillis the time since the stream's previous event, negative for its first event
      */
     void onProgress(String service, EndpointRecord endpoint, long pauseMillis) {
-        queue(service).onProgress(pauseMillis);
+        queue(service).onProgress(endpoint, pauseMillis);
         if (endpoint.seat() != null) {
             groupBackoff.onProgress(endpoint.seat().group());
         }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/ServiceQueue.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/ServiceQueue.java
@@ -4,7 +4,8 @@
 import java.util.List;
 import java.util.TreeSet;
 import org.jasminehub.core.balance.CallQueuePolicy;
-import org.jasminehub.core.balance.StreamConcurrencyLimit;
+import org.jasminehub.core.balance.GroupConcurrencyLimits;
+import org.jasminehub.core.serving.EndpointRecord;
 import org.jasminehub.core.time.Clock;
 
 /** The queue of calls that wait for capacity at one service, with its limits. Must be used on the event loop only. */
@@ -18,18 +19,18 @@
 
     private final Clock clock;
     private final TreeSet<RunningCall> calls = new TreeSet<>(ORDER);
-    private final StreamConcurrencyLimit concurrencyLimit;
+    private final GroupConcurrencyLimits concurrencyLimits;
     private final CallQueuePolicy policy;
     private long lastProgressMillis;
 
     ServiceQueue(Clock clock) {
         this.clock = clock;
-        this.concurrencyLimit = new StreamConcurrencyLimit(clock);
+        this.concurrencyLimits = new GroupConcurrencyLimits(clock);
         this.policy = new CallQueuePolicy(clock);
     }
 
-    StreamConcurrencyLimit concurrencyLimit() {
-        return concurrencyLimit;
+    GroupConcurrencyLimits concurrencyLimits() {
+        return concurrencyLimits;
     }
 
     /** Returns a copy of the queued calls in dispatch order, so that calls can be removed during iteration. */
@@ -61,11 +62,11 @@
         policy.onEnded();
     }
 
-    /** Records a stream event; {@code pauseMillis} is negative for the first event of a stream. */
-    void onProgress(long pauseMillis) {
+    /** Records an event of a stream at {@code endpoint}; {@code pauseMillis} is negative for the first event. */
+    void onProgress(EndpointRecord endpoint, long pauseMillis) {
         lastProgressMillis = clock.monotonicMillis();
         if (pauseMillis >= 0) {
-            concurrencyLimit.onEventGap(pauseMillis);
+            concurrencyLimits.onEventGap(endpoint, pauseMillis);
         }
     }
 
