Fewer calls to the store and fewer bytes between failure domains

Load pattern: many instances, and every call to the store and every byte between failure domains has a price. Cause of the calls, by their intervals: every instance polled the registrations twice a second and the configuration each 1.6 s whatever the fleet's size. Cause of the bytes, by the sizes of messages: every rank sent thousands of cumulative counts, of up to three bytes each, ten times a second, and every instance its status to every other one.

Now: registrations are polled 2.5 times within the drain time of the platform (every 0.8 s at 2 s, 1.6 s at 4 s; a failed poll can still be repeated in time); a read of the configuration waits 150 ms for each instance, between 1.6 and 3 s, since peers confirm the age to each other; ranks send the increases since the last report, mostly one byte each. Ruled out: relaying registrations among peers (heartbeats of 197 endpoints are more bytes than the polls). Not measured yet.

--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -36,7 +36,6 @@
 import org.jasminehub.gateway.control.ControlEventKind;
 import org.jasminehub.gateway.control.DelayedRunner;
 import org.jasminehub.gateway.control.EndpointController;
-import org.jasminehub.gateway.control.FollowerSettings;
 import org.jasminehub.gateway.control.InstanceDirectory;
 import org.jasminehub.gateway.control.InstanceRegistration;
 import org.jasminehub.gateway.control.PeerExchange;
@@ -59,20 +58,6 @@
  * <p>All state is confined to a single event loop.
  */
 final class EntryProgram implements ConfigurationView {
-    /** A read waits up to 1.6 s for a new version, which keeps the known age far below the revocation bound. */
-    private static final FollowerSettings CONFIGURATION_READS = new FollowerSettings(1_600, 0, 600);
-
-    /** Registrations change constantly, so they are polled several times within the drain time. */
-    private static final double ENDPOINT_READS_PER_DRAIN = 3;
-
-    /** Longest time between two polls, so that new and restarted endpoints receive calls soon. */
-    private static final long MAX_ENDPOINT_POLL_MILLIS = 1_000;
-
-    private static final long ENDPOINT_READ_TIMEOUT_MILLIS = 600;
-
-    /** Other instances rarely start or stop, so a long poll may wait for several seconds. */
-    private static final FollowerSettings INSTANCE_READS = new FollowerSettings(8_000, 0, 600);
-
     /** Share of the revocation bound up to which the configuration counts as fresh; the rest is a safety margin. */
     private static final double FRESH_SHARE = 0.9;
 
@@ -127,10 +112,12 @@
         StoreClient store =
                 new StoreClient(new StoreConnection(client, EndpointAddress.parse(settings.storeAddress())), eras);
         RandomGenerator random = new SplittableRandom(settings.instance().hashCode() ^ clock.wallMillis());
-        this.configuration = new ConfigurationController(store, CONFIGURATION_READS, timer, clock, events, eras);
-        this.endpoints = new EndpointController(store, endpointReads(settings), timer, clock, events, eras);
+        this.configuration = new ConfigurationController(
+                store, StoreReads.configuration(this::instanceCount), timer, clock, events, eras);
+        this.endpoints =
+                new EndpointController(store, StoreReads.endpoints(settings.drainMillis()), timer, clock, events, eras);
         this.registration = new InstanceRegistration(self(settings, clock), store, timer, events, eras, random);
-        this.instances = new InstanceDirectory(registration, store, INSTANCE_READS, timer, clock, events, eras);
+        this.instances = new InstanceDirectory(registration, store, StoreReads.instances(), timer, clock, events, eras);
         this.loads = new EndpointLoads(clock);
         this.peers = new PeerExchange(
                 registration,
@@ -172,10 +159,9 @@
                 events);
     }
 
-    private static FollowerSettings endpointReads(GatewaySettings settings) {
-        long pauseMillis =
-                Math.min(MAX_ENDPOINT_POLL_MILLIS, (long) (settings.drainMillis() / ENDPOINT_READS_PER_DRAIN));
-        return new FollowerSettings(0, pauseMillis, ENDPOINT_READ_TIMEOUT_MILLIS);
+    /** Returns an upper bound for the number of entry instances, 1 before they are known. */
+    private int instanceCount() {
+        return peers == null ? 1 : peers.maxInstances();
     }
 
     private static InstanceRecord self(GatewaySettings settings, Clock clock) {
--- a/gateway/src/main/java/org/jasminehub/gateway/control/LogFollower.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/LogFollower.java
@@ -28,6 +28,9 @@
 
     private static final long MAX_RETRY_MILLIS = 600;
 
+    /** Stands for the wait of a read of the newest records, which returns at once. */
+    private static final long NO_WAIT = -1;
+
     /** Receives the contents of the log. */
     interface Listener {
         /** Called with the newest record of every key; keys that are missing have no record. */
@@ -130,22 +133,23 @@
         }
         StateAge.ClockReading requestedAt = age.now();
         boolean isSnapshot = nextOffset < 0;
+        long waitMillis = settings.waitMillis().getAsLong();
         CompletableFuture<LogSlice> pendingRead = isSnapshot
                 ? store.readNewest(topic, settings.timeoutMillis())
-                : store.readLog(topic, nextOffset, settings.waitMillis(), settings.timeoutMillis());
+                : store.readLog(topic, nextOffset, waitMillis, settings.timeoutMillis());
         pendingRead.whenComplete((slice, failure) -> {
             if (readGeneration != generation) {
                 return;
             }
             if (failure == null) {
-                onSlice(readGeneration, requestedAt, isSnapshot, slice);
+                onSlice(readGeneration, requestedAt, isSnapshot ? NO_WAIT : waitMillis, slice);
             } else {
                 onFailure(readGeneration, failure);
             }
         });
     }
 
-    private void onSlice(int readGeneration, StateAge.ClockReading requestedAt, boolean isSnapshot, LogSlice slice) {
+    private void onSlice(int readGeneration, StateAge.ClockReading requestedAt, long waitMillis, LogSlice slice) {
         if (isStoreLost) {
             isStoreLost = false;
             regainedAtMillis = clock.monotonicMillis();
@@ -157,14 +161,14 @@
         }
         retryDelayMillis = MIN_RETRY_MILLIS;
         nextOffset = slice.nextOffset();
-        if (isSnapshot) {
+        if (waitMillis == NO_WAIT) {
             listener.onSnapshot(slice.records());
         } else if (!slice.records().isEmpty()) {
             listener.onRecords(slice.records());
         }
         // After a restore the store does not show the lost records until they have been written again.
         if (eras.isCompleteSince(requestedAt.monotonicMillis()) && listener.isUpToDate()) {
-            age.confirm(confirmedAt(requestedAt, isSnapshot, slice));
+            age.confirm(confirmedAt(requestedAt, waitMillis, slice));
         }
         timer.runAfter(settings.pauseMillis(), () -> read(readGeneration));
     }
@@ -173,14 +177,13 @@
      * Returns the time as of which the slice is current. A read that waited in full without a record saw the log as it
      * was at the end of the wait.
      */
-    private StateAge.ClockReading confirmedAt(StateAge.ClockReading requestedAt, boolean isSnapshot, LogSlice slice) {
-        boolean isFullWait = !isSnapshot
+    private StateAge.ClockReading confirmedAt(StateAge.ClockReading requestedAt, long waitMillis, LogSlice slice) {
+        boolean isFullWait = waitMillis != NO_WAIT
                 && slice.records().isEmpty()
-                && clock.monotonicMillis() - requestedAt.monotonicMillis() >= settings.waitMillis();
+                && clock.monotonicMillis() - requestedAt.monotonicMillis() >= waitMillis;
         return isFullWait
                 ? new StateAge.ClockReading(
-                        requestedAt.monotonicMillis() + settings.waitMillis(),
-                        requestedAt.wallMillis() + settings.waitMillis())
+                        requestedAt.monotonicMillis() + waitMillis, requestedAt.wallMillis() + waitMillis)
                 : requestedAt;
     }
 
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/ExpertCountDeltas.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/ExpertCountDeltas.java
@@ -1,19 +1,21 @@
 package org.jasminehub.gateway.experts;
 
-import org.jasminehub.wire.generated.RankStatus;
 import org.jspecify.annotations.Nullable;
 
-/** Computes the increases of one rank's cumulative expert counts. Not thread-safe. */
+/**
+ * Computes the increases of one rank's cumulative expert counts.
+ *
+ * <p>Load pattern: a rank counts the choices of thousands of experts, and most cumulative counts need three bytes in a
+ * message, the increases between two reports only one.
+ *
+ * <p>Not thread-safe.
+ */
 final class ExpertCountDeltas {
     private long[] lastCounts = new long[0];
 
     /** Returns the increase of each count since the previous call, null if the counts cannot be compared. */
-    long @Nullable [] update(RankStatus status) {
+    long @Nullable [] update(long[] counts) {
         long[] previous = lastCounts;
-        long[] counts = new long[status.getExpertCountsCount()];
-        for (int index = 0; index < counts.length; index++) {
-            counts[index] = status.getExpertCounts(index);
-        }
         lastCounts = counts;
         if (previous.length != counts.length) {
             return null;
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/RankAgent.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/RankAgent.java
@@ -1,6 +1,7 @@
 package org.jasminehub.gateway.experts;
 
 import io.netty.channel.EventLoop;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -51,6 +52,7 @@
     private final BufferedHttpClient engine;
     private final EventSink events;
     private final Map<RankMessenger, Boolean> watchers = new HashMap<>();
+    private final ExpertCountDeltas counts = new ExpertCountDeltas();
     private RankStatus status = RankStatus.getDefaultInstance();
     private RankStatus lastSent = status;
     private long lastSentMillis;
@@ -108,8 +110,9 @@
                 .setRunning(report.running())
                 .setWaiting(report.waiting())
                 .setPace(report.pace());
-        if (view.epoch() != status.getEpoch()) {
+        if (view.epoch() != status.getEpoch() || report.startedWallMillis() != status.getStartedWallMillis()) {
             preparingVersion = 0;
+            counts.clear();
         }
         String key = view.epoch() + "/" + view.mapVersion() + "/" + report.startedWallMillis();
         if (!key.equals(holdingsKey)) {
@@ -141,10 +144,15 @@
 
     private void readCounts() {
         call(EngineAdapter.counts()).thenAccept(response -> {
-            status = status.toBuilder()
-                    .clearExpertCounts()
-                    .addAllExpertCounts(EngineAdapter.decodeCounts(response.body()))
-                    .build();
+            long[] increases = counts.update(EngineAdapter.decodeCounts(response.body()));
+            if (increases == null || Arrays.stream(increases).allMatch(increase -> increase == 0)) {
+                return;
+            }
+            RankStatus.Builder next = status.toBuilder().clearExpertIncrements();
+            for (long increase : increases) {
+                next.addExpertIncrements((int) Math.min(Integer.MAX_VALUE, increase));
+            }
+            status = next.build();
             hasFreshCounts = true;
             push();
         });
@@ -176,7 +184,8 @@
 
     /** Sends the status if it changed or a heartbeat is due, with counts only if they were read again. */
     private void push() {
-        RankStatus statusWithoutCounts = status.toBuilder().clearExpertCounts().build();
+        RankStatus statusWithoutCounts =
+                status.toBuilder().clearExpertIncrements().build();
         boolean isUnchanged = statusWithoutCounts.toBuilder()
                 .clearStep()
                 .build()
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/TrackedRank.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/TrackedRank.java
@@ -18,7 +18,6 @@
     private static final long HOLD_REPORT_MILLIS = 250;
 
     private final int rank;
-    private final ExpertCountDeltas counts = new ExpertCountDeltas();
     private @Nullable RankMessenger connection;
     private RankStatus status = RankStatus.getDefaultInstance();
     private long lastStatusMillis;
@@ -53,7 +52,7 @@
      *
      * @param isDirect whether the status was read from the engine without its agent. Such a status is older than the
      *     agent's, so it is used only while the agent is silent.
-     * @return how often the rank's requests chose each expert since the previous counts, null if unknown
+     * @return how often the rank's requests chose each expert since the previous report, null if unknown
      */
     long @Nullable [] onStatus(RankMessenger from, RankStatus next, boolean isDirect, long nowMillis) {
         if (isDirect && nowMillis - lastAgentStatusMillis <= AGENT_SILENT_MILLIS) {
@@ -64,17 +63,18 @@
         if (isRestarted) {
             acceptedPrepareVersion = 0;
             acceptedHoldStep = 0;
-            counts.clear();
         }
         if (!isDirect) {
             lastAgentStatusMillis = nowMillis;
         }
         connection = from;
         lastStatusMillis = nowMillis;
-        status = next.getExpertCountsCount() > 0
-                ? next.toBuilder().clearExpertCounts().build()
-                : next;
-        return next.getExpertCountsCount() > 0 ? counts.update(next) : null;
+        long[] chosen = new long[next.getExpertIncrementsCount()];
+        for (int index = 0; index < chosen.length; index++) {
+            chosen[index] = next.getExpertIncrements(index);
+        }
+        status = chosen.length > 0 ? next.toBuilder().clearExpertIncrements().build() : next;
+        return chosen.length > 0 ? chosen : null;
     }
 
     /**
