--- a/core/src/main/java/org/jasminehub/core/experts/placement/DemandWindow.java
+++ b/core/src/main/java/org/jasminehub/core/experts/placement/DemandWindow.java
@@ -93,6 +93,11 @@
         return layers * experts;
     }
 
+    /** Returns the time from which on the newest choices are counted; it changes once for each round of reports. */
+    public long newestRoundMillis() {
+        return open.startMillis();
+    }
+
     /** Returns whether the window is long enough for planning and no shift within it has been detected. */
     public boolean isSettled() {
         return isSettled;
--- a/core/src/main/java/org/jasminehub/core/experts/placement/LayerLoad.java
+++ b/core/src/main/java/org/jasminehub/core/experts/placement/LayerLoad.java
@@ -2,14 +2,18 @@
 
 import java.util.Arrays;
 
-/** The mutable assignment of experts to ranks in one layer, on which the planner tries changes. Not thread-safe. */
+/**
+ * The mutable assignment of experts to ranks in one layer, on which the planner tries changes.
+ *
+ * <p>The planner tries thousands of changes in a group of 64 ranks, each of which affects only the few ranks that hold
+ * an expert. Loads and their smooth maximum are therefore updated for these ranks only.
+ *
+ * <p>Not thread-safe.
+ */
 final class LayerLoad {
     /** Denotes that a change affects no rank or expert. */
     static final int NONE = -1;
 
-    /** High enough that the most loaded ranks dominate the mean, and computable by squaring three times. */
-    private static final double SMOOTH_POWER = 8;
-
     private final double[] expertLoad;
     private final double[] rankSlowdown;
     private final double totalLoad;
@@ -17,6 +21,10 @@
     private final int[] replicas;
     private final int[] held;
     private final double[] rankLoad;
+    /** The ranks that hold each expert, in the first {@code replicas} places. */
+    private final int[][] holders;
+
+    private double eighthPowers;
 
     LayerLoad(ReplicaMap map, int layer, double[] expertLoad, double[] rankSlowdown) {
         this.expertLoad = expertLoad;
@@ -26,16 +34,35 @@
         this.replicas = new int[map.experts()];
         this.held = new int[map.ranks()];
         this.rankLoad = new double[map.ranks()];
+        this.holders = new int[map.experts()][map.ranks()];
         for (int rank = 0; rank < map.ranks(); rank++) {
             for (int expert : map.held(layer, rank)) {
-                holds[rank][expert] = true;
-                replicas[expert]++;
-                held[rank]++;
+                hold(rank, expert);
             }
         }
         recompute();
     }
 
+    private void hold(int rank, int expert) {
+        holds[rank][expert] = true;
+        holders[expert][replicas[expert]] = rank;
+        replicas[expert]++;
+        held[rank]++;
+    }
+
+    private void release(int rank, int expert) {
+        holds[rank][expert] = false;
+        replicas[expert]--;
+        held[rank]--;
+        int[] ranks = holders[expert];
+        for (int index = 0; index < replicas[expert]; index++) {
+            if (ranks[index] == rank) {
+                ranks[index] = ranks[replicas[expert]];
+                return;
+            }
+        }
+    }
+
     boolean holds(int rank, int expert) {
         return holds[rank][expert];
     }
@@ -77,31 +104,27 @@
         if (totalLoad <= 0) {
             return 1;
         }
-        double sum = 0;
-        for (double load : rankLoad) {
-            double relative = load * rankLoad.length / totalLoad;
-            double square = relative * relative;
-            double fourth = square * square;
-            sum += fourth * fourth;
-        }
-        return Math.pow(sum / rankLoad.length, 1.0 / SMOOTH_POWER);
+        double meanPower = Math.max(0, eighthPowers) / rankLoad.length;
+        return Math.sqrt(Math.sqrt(Math.sqrt(meanPower))) * rankLoad.length / totalLoad;
+    }
+
+    private static double eighthPower(double value) {
+        double square = value * value;
+        double fourth = square * square;
+        return fourth * fourth;
     }
 
     /** Adds {@code expert} to {@code rank}. */
     void add(int rank, int expert) {
         addShares(expert, -1);
-        holds[rank][expert] = true;
-        replicas[expert]++;
-        held[rank]++;
+        hold(rank, expert);
         addShares(expert, 1);
     }
 
     /** Removes {@code expert} from {@code rank}. */
     void remove(int rank, int expert) {
         addShares(expert, -1);
-        holds[rank][expert] = false;
-        replicas[expert]--;
-        held[rank]--;
+        release(rank, expert);
         addShares(expert, 1);
     }
 
@@ -122,17 +145,24 @@
             return;
         }
         double share = sign * expertLoad[expert] / replicas[expert];
-        for (int rank = 0; rank < rankLoad.length; rank++) {
-            if (holds[rank][expert]) {
-                rankLoad[rank] += share * rankSlowdown[rank];
-            }
+        for (int index = 0; index < replicas[expert]; index++) {
+            int rank = holders[expert][index];
+            double previous = rankLoad[rank];
+            rankLoad[rank] = previous + share * rankSlowdown[rank];
+            eighthPowers += eighthPower(rankLoad[rank]) - eighthPower(previous);
         }
     }
 
-    private void recompute() {
+    /** Computes all loads anew, because small rounding errors of the updates add up. */
+    void recompute() {
         Arrays.fill(rankLoad, 0);
+        eighthPowers = 0;
         for (int expert = 0; expert < replicas.length; expert++) {
             addShares(expert, 1);
         }
+        eighthPowers = 0;
+        for (double load : rankLoad) {
+            eighthPowers += eighthPower(load);
+        }
     }
 }
--- a/core/src/main/java/org/jasminehub/core/experts/placement/PlacementPlanner.java
+++ b/core/src/main/java/org/jasminehub/core/experts/placement/PlacementPlanner.java
@@ -90,6 +90,7 @@
             return false;
         }
         best.apply(layers[layer]);
+        layers[layer].recompute();
         if (best.target() != LayerLoad.NONE) {
             countCopy(layer, best.target(), best.expert());
         }
--- a/core/src/test/java/org/jasminehub/core/experts/placement/DemandWindowTest.java
+++ b/core/src/test/java/org/jasminehub/core/experts/placement/DemandWindowTest.java
@@ -120,4 +120,16 @@
             assertTrue(window.isSettled());
         }
     }
+
+    @Test
+    void testARoundOfReportsIsCountedTogether() {
+        report(FIRST);
+        long first = window.newestRoundMillis();
+        report(FIRST);
+        long second = window.newestRoundMillis();
+
+        assertTrue(second > first);
+        window.add(nowMillis, FIRST);
+        assertTrue(window.newestRoundMillis() - second <= INTERVAL_MILLIS);
+    }
 }
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/GroupPlacement.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/GroupPlacement.java
@@ -79,6 +79,7 @@
     private long lastPlannedVersion = -1;
     private long lastStep = -1;
     private long lastStepMillis;
+    private long consideredRoundMillis = Long.MIN_VALUE;
 
     /** Creates a placement of the group {@code name} that has no reports of the group yet. */
     GroupPlacement(
@@ -318,9 +319,11 @@
             return;
         }
         DemandWindow window = demand;
-        if (window == null || !window.isSettled()) {
+        // A plan takes a good part of a processor, so demand is considered once for each round of reports.
+        if (window == null || !window.isSettled() || window.newestRoundMillis() == consideredRoundMillis) {
             return;
         }
+        consideredRoundMillis = window.newestRoundMillis();
         double[][] load = window.choices();
         double choices = Arrays.stream(load).flatMapToDouble(Arrays::stream).sum();
         if (choices < MIN_CHOICES_PER_EXPERT * experts.layers() * experts.experts()) {
