Only the bundled gateway configures its log by the new class

Cause, not the load: the entry that names LogConfigurator was on the class path of every program that has the gateway's module beside it, so the project's own entry and agent wrote their log to standard output, where the test reads the port.

--- a/gateway/src/main/java/org/jasminehub/gateway/telemetry/LogConfigurator.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/telemetry/LogConfigurator.java
@@ -13,7 +13,7 @@
 /**
  * Configures Logback without an XML file, because loading an XML parser would delay every start of a gateway.
  *
- * <p>Found through its entry in {@code META-INF/services}. The level is set by the environment variable {@code
+ * <p>Found through an entry in {@code META-INF/services} that only the bundled jar contains. The level is set by the environment variable {@code
  * JASMINEHUB_LOG_LEVEL}.
  */
 @ConfiguratorRank(ConfiguratorRank.CUSTOM_HIGH_PRIORITY)
