A line for each call that is open when the process ends

Now each gets CALL_CUT with the time since its arrival, its endpoint and its sends; together with PROCESS_STOPPING this tells how long after the signal it was accepted. Its connection is closed explicitly, as the end of the process does anyway.

--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -368,7 +368,7 @@
                 sequence.finish();
             } else {
                 open.disableKeepAlive();
-                sequence.run(open, dispatcher::openCalls);
+                sequence.run(open, dispatcher);
             }
         });
         sequence.await();
--- a/gateway/src/main/java/org/jasminehub/gateway/StopSequence.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/StopSequence.java
@@ -2,9 +2,9 @@
 
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.function.IntSupplier;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.time.Clock;
+import org.jasminehub.gateway.call.CallDispatcher;
 import org.jasminehub.gateway.control.ControlEvent;
 import org.jasminehub.gateway.control.ControlEventKind;
 import org.jasminehub.gateway.control.DelayedRunner;
@@ -36,13 +36,13 @@
         this.startedMillis = clock.monotonicMillis();
     }
 
-    void run(CallerServer callers, IntSupplier openCalls) {
+    void run(CallerServer callers, CallDispatcher calls) {
         events.emit(new ControlEvent(
-                ControlEventKind.PROCESS_STOPPING, settings.instance(), openCalls.getAsInt() + " open calls", 0));
-        poll(callers, openCalls);
+                ControlEventKind.PROCESS_STOPPING, settings.instance(), calls.openCalls() + " open calls", 0));
+        poll(callers, calls);
     }
 
-    private void poll(CallerServer callers, IntSupplier openCalls) {
+    private void poll(CallerServer callers, CallDispatcher calls) {
         long elapsedMillis = clock.monotonicMillis() - startedMillis;
         boolean isListExpired = elapsedMillis >= DirectoryHandler.TTL_MILLIS + LIST_EXPIRY_MARGIN_MILLIS;
         boolean isGraceOver =
@@ -50,16 +50,17 @@
         if (isListExpired) {
             callers.closeIdle();
         }
-        if (isGraceOver || (isListExpired && openCalls.getAsInt() == 0 && callers.connections() == 0)) {
+        if (isGraceOver || (isListExpired && calls.openCalls() == 0 && callers.connections() == 0)) {
             events.emit(new ControlEvent(
                     ControlEventKind.PROCESS_STOPPED,
                     settings.instance(),
-                    openCalls.getAsInt() + " calls still open after " + elapsedMillis + " ms",
+                    calls.openCalls() + " calls still open after " + elapsedMillis + " ms",
                     0));
+            calls.cutOpenCalls();
             finish();
             return;
         }
-        timer.runAfter(POLL_MILLIS, () -> poll(callers, openCalls));
+        timer.runAfter(POLL_MILLIS, () -> poll(callers, calls));
     }
 
     void finish() {
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
@@ -83,6 +83,11 @@
         return running.size();
     }
 
+    /** Ends the open calls because the process ends. */
+    public void cutOpenCalls() {
+        List.copyOf(running).forEach(RunningCall::cut);
+    }
+
     /** Sends queued calls while endpoints have capacity for them. */
     public void dispatchQueued() {
         for (ServiceQueue queue : new ArrayList<>(queues.values())) {
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallEventKind.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallEventKind.java
@@ -14,7 +14,9 @@
     /** An attempt ended without a response that can be delivered. */
     ATTEMPT_FAILED(5503, Severity.WARNING, "An endpoint did not give a whole answer; the line says what follows."),
     /** The request is not valid HTTP or exceeds a limit. */
-    REQUEST_MALFORMED(5504, Severity.WARNING, "Bytes of a caller are no request; the connection is closed.");
+    REQUEST_MALFORMED(5504, Severity.WARNING, "Bytes of a caller are no request; the connection is closed."),
+    /** The process ended while the call was open. */
+    CALL_CUT(5505, Severity.WARNING, "The process ended before the call had its complete answer.");
 
     private final int number;
     private final Severity severity;
--- a/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
@@ -292,6 +292,14 @@
         response.write(answer, context.requestId());
     }
 
+    /** Ends the call because the process ends; closes the connection of a caller without a complete response. */
+    void cut() {
+        if (!isDone) {
+            end(CallEventKind.CALL_CUT, 0, ErrorCode.LEAVING.code(), "the process ends");
+            answer.abort();
+        }
+    }
+
     /** Called when the response has been delivered. */
     void onServed(int status) {
         attempt = null;
