A stopping instance accepts only calls that it can finish, and answers those open at its end

Cause: the gateway's stop sequence had phases for its list entry and for idle connections but none for admission, so calls were accepted until the end, whatever time they needed. The project's own entry instances have that phase (EntryDrain); the gateway had a second, weaker copy of the same decision. Change: StopSequence uses EntryDrainPolicy.

--- a/core/src/main/java/org/jasminehub/core/drain/EntryDrainPolicy.java
+++ b/core/src/main/java/org/jasminehub/core/drain/EntryDrainPolicy.java
@@ -17,8 +17,7 @@
  * <p>Immutable.
  */
 public final class EntryDrainPolicy {
-    private final long listLagMillis;
-    private final long addressTtlMillis;
+    private final long announcedMillis;
     private final long maxDrainMillis;
 
     /**
@@ -29,10 +28,9 @@
      * @param maxDrainMillis the time after the start at which the instance stops even if requests are open
      */
     public EntryDrainPolicy(long listLagMillis, long addressTtlMillis, long maxDrainMillis) {
-        this.listLagMillis = Checks.notNegative("listLagMillis", listLagMillis);
-        this.addressTtlMillis = Checks.notNegative("addressTtlMillis", addressTtlMillis);
+        this.announcedMillis = Checks.notNegative("listLagMillis", listLagMillis)
+                + Checks.notNegative("addressTtlMillis", addressTtlMillis);
         this.maxDrainMillis = maxDrainMillis;
-        long announcedMillis = listLagMillis + addressTtlMillis;
         Checks.that(maxDrainMillis > announcedMillis, "maxDrainMillis", maxDrainMillis, "above " + announcedMillis);
     }
 
@@ -41,9 +39,19 @@
         if (elapsedMillis >= maxDrainMillis) {
             return DrainPhase.STOPPED;
         }
-        if (elapsedMillis <= listLagMillis + addressTtlMillis) {
+        if (elapsedMillis <= announcedMillis) {
             return DrainPhase.ANNOUNCED;
         }
         return openRequests > 0 ? DrainPhase.FINISHING : DrainPhase.STOPPED;
     }
+
+    /**
+     * Returns whether a request is accepted that arrives at {@code elapsedMillis} after the start. Callers that use the
+     * address longer than they should are served only if the instance cannot stop before their response is complete.
+     *
+     * @param limitMillis the time within which the request ends in any case
+     */
+    public boolean accepts(long elapsedMillis, long limitMillis) {
+        return elapsedMillis <= announcedMillis || elapsedMillis + limitMillis <= maxDrainMillis;
+    }
 }
--- a/core/src/test/java/org/jasminehub/core/drain/EntryDrainTest.java
+++ b/core/src/test/java/org/jasminehub/core/drain/EntryDrainTest.java
@@ -1,6 +1,7 @@
 package org.jasminehub.core.drain;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -8,6 +9,7 @@
 import java.util.Random;
 import org.jasminehub.core.event.Event;
 import org.jasminehub.core.time.ManualClock;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 final class EntryDrainTest {
@@ -71,6 +73,27 @@
         assertTrue(countFailures(new Random(0), shortLimit) > 0);
     }
 
+    /** Requests of callers that use the address longer than they should. */
+    @Nested
+    final class LateRequests {
+        private static final long ANNOUNCED_MILLIS = LIST_LAG_MILLIS + TTL_MILLIS;
+
+        private final EntryDrainPolicy policy = new EntryDrainPolicy(LIST_LAG_MILLIS, TTL_MILLIS, MAX_DRAIN_MILLIS);
+
+        @Test
+        void testAnyRequestIsAcceptedWhileCallersMayHoldTheAddress() {
+            assertTrue(policy.accepts(0, MAX_DRAIN_MILLIS + 1));
+            assertTrue(policy.accepts(ANNOUNCED_MILLIS, MAX_DRAIN_MILLIS + 1));
+        }
+
+        @Test
+        void testALaterRequestIsAcceptedOnlyIfItEndsBeforeTheInstanceStops() {
+            long elapsedMillis = ANNOUNCED_MILLIS + 1;
+            assertTrue(policy.accepts(elapsedMillis, MAX_DRAIN_MILLIS - elapsedMillis));
+            assertFalse(policy.accepts(elapsedMillis, MAX_DRAIN_MILLIS - elapsedMillis + 1));
+        }
+    }
+
     @Test
     void testDrainStopsAtTimeLimitAndReportsOpenRequests() {
         EntryDrainPolicy policy = new EntryDrainPolicy(LIST_LAG_MILLIS, TTL_MILLIS, MAX_DRAIN_MILLIS);
--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -94,6 +94,7 @@
     private final EndpointLoads loads;
     private final CallRetryBudget retryBudget;
     private final CallDispatcher dispatcher;
+    private final StopSequence stopSequence;
     private @Nullable CallerServer callers;
     private long clockDifferenceMillis;
     private boolean isReady;
@@ -157,6 +158,7 @@
                 service -> service == null || service.engine() == null ? PLAIN_CALLS_PER_SLOT : ENGINE_CALLS_PER_SLOT,
                 random,
                 events);
+        this.stopSequence = new StopSequence(settings, clock, timer, events);
     }
 
     /** Returns an upper bound for the number of entry instances, 1 before they are known. */
@@ -183,7 +185,11 @@
     void start() {
         clockDifferenceMillis = clock.wallMillis() - clock.monotonicMillis();
         CallPipeline pipeline = new CallPipeline(
-                clock, this, new CallSettings((long) (settings.revocationMillis() * FRESH_SHARE)), dispatcher);
+                clock,
+                this,
+                new CallSettings((long) (settings.revocationMillis() * FRESH_SHARE)),
+                stopSequence,
+                dispatcher);
         callers = listen(settings.callerAddress(), pipeline);
         DirectoryHandler directory = new DirectoryHandler(() -> isReady, peers::acceptingInstances, settings);
         listen(settings.readinessAddress(), directory);
@@ -357,7 +363,6 @@
 
     /** Completes the open calls and deregisters; blocks until that is done or the grace time is nearly over. */
     void stop() {
-        StopSequence sequence = new StopSequence(settings, clock, timer, events);
         loop.execute(() -> {
             isStopping = true;
             updateReadiness();
@@ -365,12 +370,12 @@
             registration.deregister();
             CallerServer open = callers;
             if (open == null) {
-                sequence.finish();
+                stopSequence.finish();
             } else {
                 open.disableKeepAlive();
-                sequence.run(open, dispatcher);
+                stopSequence.run(open, dispatcher);
             }
         });
-        sequence.await();
+        stopSequence.await();
     }
 }
--- a/gateway/src/main/java/org/jasminehub/gateway/StopSequence.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/StopSequence.java
@@ -2,65 +2,92 @@
 
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.jasminehub.core.drain.DrainPhase;
+import org.jasminehub.core.drain.EntryDrain;
+import org.jasminehub.core.drain.EntryDrainPolicy;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.time.Clock;
+import org.jasminehub.gateway.call.CallAdmission;
 import org.jasminehub.gateway.call.CallDispatcher;
 import org.jasminehub.gateway.control.ControlEvent;
 import org.jasminehub.gateway.control.ControlEventKind;
 import org.jasminehub.gateway.control.DelayedRunner;
 import org.jasminehub.gateway.net.CallerServer;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Graceful shutdown: keeps serving until no caller has this address cached, then completes open calls within the grace
  * time.
  */
-final class StopSequence {
+final class StopSequence implements CallAdmission {
     private static final long POLL_MILLIS = 50;
-    /** Added to the TTL of the address list; covers the round trip of a caller that requests the list again. */
-    private static final long LIST_EXPIRY_MARGIN_MILLIS = 500;
+
+    /** Covers the round trip of a caller that requests the address list again. */
+    private static final long LIST_LAG_MILLIS = 500;
+
     /** The process ends this long before the grace time, so that the platform never kills it during an open call. */
     private static final long END_MARGIN_MILLIS = 400;
 
     private final GatewaySettings settings;
+    private final EntryDrainPolicy policy;
     private final Clock clock;
     private final DelayedRunner timer;
     private final EventSink events;
     private final CountDownLatch done = new CountDownLatch(1);
-    private final long startedMillis;
+    private @Nullable EntryDrain drain;
+    private long startedMillis;
 
     StopSequence(GatewaySettings settings, Clock clock, DelayedRunner timer, EventSink events) {
         this.settings = settings;
+        this.policy = policy((long) (settings.graceSeconds() * TimeUnit.SECONDS.toMillis(1)));
         this.clock = clock;
         this.timer = timer;
         this.events = events;
-        this.startedMillis = clock.monotonicMillis();
     }
 
+    private static EntryDrainPolicy policy(long graceMillis) {
+        long maxDrainMillis = Math.max(1, graceMillis - END_MARGIN_MILLIS);
+        // A short grace time must leave time for the calls that are open when new ones are no longer accepted.
+        long listLagMillis = Math.min(LIST_LAG_MILLIS, maxDrainMillis / 4);
+        long addressTtlMillis = Math.min(DirectoryHandler.TTL_MILLIS, maxDrainMillis / 2);
+        return new EntryDrainPolicy(listLagMillis, addressTtlMillis, maxDrainMillis);
+    }
+
+    /** Starts the sequence; the instance must not be listed for callers any more. */
     void run(CallerServer callers, CallDispatcher calls) {
+        startedMillis = clock.monotonicMillis();
         events.emit(new ControlEvent(
                 ControlEventKind.PROCESS_STOPPING, settings.instance(), calls.openCalls() + " open calls", 0));
-        poll(callers, calls);
+        EntryDrain started = new EntryDrain(settings.instance(), policy, callers::connections, clock, events);
+        drain = started;
+        poll(started, callers, calls);
     }
 
-    private void poll(CallerServer callers, CallDispatcher calls) {
-        long elapsedMillis = clock.monotonicMillis() - startedMillis;
-        boolean isListExpired = elapsedMillis >= DirectoryHandler.TTL_MILLIS + LIST_EXPIRY_MARGIN_MILLIS;
-        boolean isGraceOver =
-                elapsedMillis >= settings.graceSeconds() * TimeUnit.SECONDS.toMillis(1) - END_MARGIN_MILLIS;
-        if (isListExpired) {
+    @Override
+    public boolean accepts(long limitMillis) {
+        return drain == null || policy.accepts(elapsedMillis(), limitMillis);
+    }
+
+    private void poll(EntryDrain started, CallerServer callers, CallDispatcher calls) {
+        DrainPhase phase = started.advance();
+        if (phase != DrainPhase.ANNOUNCED) {
             callers.closeIdle();
         }
-        if (isGraceOver || (isListExpired && calls.openCalls() == 0 && callers.connections() == 0)) {
+        if (phase == DrainPhase.STOPPED) {
             events.emit(new ControlEvent(
                     ControlEventKind.PROCESS_STOPPED,
                     settings.instance(),
-                    calls.openCalls() + " calls still open after " + elapsedMillis + " ms",
+                    calls.openCalls() + " calls still open after " + elapsedMillis() + " ms",
                     0));
-            calls.cutOpenCalls();
+            calls.endOpenCalls();
             finish();
             return;
         }
-        timer.runAfter(POLL_MILLIS, () -> poll(callers, calls));
+        timer.runAfter(POLL_MILLIS, () -> poll(started, callers, calls));
+    }
+
+    private long elapsedMillis() {
+        return clock.monotonicMillis() - startedMillis;
     }
 
     void finish() {
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
@@ -83,9 +83,9 @@
         return running.size();
     }
 
-    /** Ends the open calls because the process ends. */
-    public void cutOpenCalls() {
-        List.copyOf(running).forEach(RunningCall::cut);
+    /** Ends the open calls because the process ends; those without a response so far get an error response. */
+    public void endOpenCalls() {
+        List.copyOf(running).forEach(RunningCall::endWithProcess);
     }
 
     /** Sends queued calls while endpoints have capacity for them. */
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallFilters.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallFilters.java
@@ -20,15 +20,23 @@
     private final Clock clock;
     private final ConfigurationView configuration;
     private final CallSettings settings;
+    private final CallAdmission admission;
 
-    CallFilters(Clock clock, ConfigurationView configuration, CallSettings settings) {
+    CallFilters(Clock clock, ConfigurationView configuration, CallSettings settings, CallAdmission admission) {
         this.clock = clock;
         this.configuration = configuration;
         this.settings = settings;
+        this.admission = admission;
     }
 
     List<CallFilter> chain() {
-        return List.of(this::readHeaders, this::loadConfiguration, this::matchRoute, this::checkKey, this::setDeadline);
+        return List.of(
+                this::readHeaders,
+                this::loadConfiguration,
+                this::matchRoute,
+                this::checkKey,
+                this::setDeadline,
+                this::admit);
     }
 
     private Optional<Refusal> readHeaders(CallContext context) {
@@ -95,6 +103,12 @@
                 : Optional.empty();
     }
 
+    private Optional<Refusal> admit(CallContext context) {
+        return admission.accepts(context.deadlineMillis - clock.monotonicMillis())
+                ? Optional.empty()
+                : Optional.of(Refusal.leaving("this instance may stop before the call ends"));
+    }
+
     /**
      * Returns whether keys and routes may be checked against the configuration; an outdated one may hold revoked keys.
      */
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallPipeline.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallPipeline.java
@@ -12,7 +12,7 @@
  * Applies the filters to each call and dispatches the calls that pass.
  *
  * <pre>{@code
- * CallerServer.start(loop, address, limits, new CallPipeline(clock, configuration, settings, dispatcher), onMalformed);
+ * CallerServer.start(loop, address, limits, new CallPipeline(clock, configuration, settings, admission, dispatcher), onMalformed);
  * }</pre>
  */
 public final class CallPipeline implements CallerHandler {
@@ -22,9 +22,13 @@
 
     /** Creates a pipeline that passes accepted calls to {@code dispatcher}. */
     public CallPipeline(
-            Clock clock, ConfigurationView configuration, CallSettings settings, CallDispatcher dispatcher) {
+            Clock clock,
+            ConfigurationView configuration,
+            CallSettings settings,
+            CallAdmission admission,
+            CallDispatcher dispatcher) {
         this.clock = clock;
-        this.filters = new CallFilters(clock, configuration, settings).chain();
+        this.filters = new CallFilters(clock, configuration, settings, admission).chain();
         this.dispatcher = dispatcher;
     }
 
--- a/gateway/src/main/java/org/jasminehub/gateway/call/Refusal.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/Refusal.java
@@ -36,6 +36,11 @@
         return new Refusal(code, code.httpStatus(), retryAfterMillis, reason);
     }
 
+    /** Returns the refusal of a stopping instance; other instances accept the call at once, so there is no delay. */
+    static Refusal leaving(String reason) {
+        return retryable(ErrorCode.LEAVING, 0, reason);
+    }
+
     /** Writes this response; {@code requestId} is empty if the request had none. */
     void write(CallerResponse answer, String requestId) {
         HttpHeaders headers = new DefaultHttpHeaders(false);
--- a/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
@@ -292,11 +292,16 @@
         response.write(answer, context.requestId());
     }
 
-    /** Ends the call because the process ends; closes the connection of a caller without a complete response. */
-    void cut() {
-        if (!isDone) {
+    /** Ends the call because the process ends; a response whose head has been sent is cut. */
+    void endWithProcess() {
+        if (isDone) {
+            return;
+        }
+        if (isHeadSent) {
             end(CallEventKind.CALL_CUT, 0, ErrorCode.LEAVING.code(), "the process ends");
             answer.abort();
+        } else {
+            endWithRefusal(Refusal.leaving("the process ends"));
         }
     }
 
