A connection closes only after a response that announced it

Cause: whether a response is the last one of its connection was decided anew when the response ended, after its head had been sent. Change: the decision is made with the head and holds; the next request on the connection is answered with the close announced, and idle connections are closed as before once callers should not hold the address any more.

--- a/gateway/src/main/java/org/jasminehub/gateway/net/CallerConnection.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/CallerConnection.java
@@ -158,7 +158,7 @@
     private void onResponseSent(ChannelHandlerContext context, boolean closes) {
         writer = null;
         exchange = null;
-        if (closes || server.isStopping()) {
+        if (closes) {
             isClosing = true;
             context.close();
             return;
@@ -221,7 +221,7 @@
     /** Writes the response to the current request. */
     private final class ResponseWriter implements CallerResponse {
         private final ChannelHandlerContext context;
-        private final boolean closes;
+        private boolean closes;
 
         ResponseWriter(ChannelHandlerContext context, boolean closes) {
             this.context = context;
@@ -235,12 +235,14 @@
             if (!headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
                 HttpUtil.setContentLength(response, bytes.length);
             }
-            finish(response, markClose(headers));
+            markClose(headers);
+            finish(response);
         }
 
         @Override
         public void begin(HttpResponseStatus status, HttpHeaders headers, long bodyLength) {
-            StreamedResponses.begin(context, status, headers, bodyLength, markClose(headers));
+            markClose(headers);
+            StreamedResponses.begin(context, status, headers, bodyLength, closes);
         }
 
         @Override
@@ -250,18 +252,18 @@
 
         @Override
         public void end() {
-            finish(LastHttpContent.EMPTY_LAST_CONTENT, closes || server.isStopping());
+            finish(LastHttpContent.EMPTY_LAST_CONTENT);
         }
 
-        private boolean markClose(HttpHeaders headers) {
-            boolean isLast = closes || server.isStopping();
-            if (isLast) {
+        /** Only the head can announce the close; without the announcement the caller may have sent its next request. */
+        private void markClose(HttpHeaders headers) {
+            closes |= server.isStopping();
+            if (closes) {
                 headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
-            return isLast;
         }
 
-        private void finish(Object last, boolean isLast) {
+        private void finish(Object last) {
             if (writer != this) {
                 ReferenceCountUtil.release(last);
                 return;
@@ -269,7 +271,7 @@
             context.writeAndFlush(last)
                     .addListener(written -> context.executor().execute(() -> {
                         if (writer == this) {
-                            onResponseSent(context, isLast);
+                            onResponseSent(context, closes);
                         }
                     }));
         }
--- a/gateway/src/main/java/org/jasminehub/gateway/net/CallerServer.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/CallerServer.java
@@ -96,7 +96,7 @@
     }
 
     /**
-     * Makes every further response the last one on its connection.
+     * Makes every response whose head is not sent yet the last one on its connection.
      *
      * <p>Idle connections stay open, because requests on them may be in transit.
      */
