--- a/gateway/src/main/java/org/jasminehub/gateway/call/AttemptFailed.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/AttemptFailed.java
@@ -1,5 +1,6 @@
 package org.jasminehub.gateway.call;
 
+import java.util.List;
 import org.jasminehub.core.balance.AttemptEnd;
 import org.jasminehub.core.event.Event;
 
@@ -14,6 +15,7 @@
  * @param lastEventId the id of the last stream event delivered to the caller, -1 if there is none
  * @param elapsedMillis the time since the attempt was sent
  * @param isRepeated whether the call is retried
+ * @param promptParts the parts of the prompt that other requests may share
  */
 public record AttemptFailed(
         String requestId,
@@ -23,7 +25,8 @@
         int openCalls,
         long lastEventId,
         long elapsedMillis,
-        boolean isRepeated)
+        boolean isRepeated,
+        List<String> promptParts)
         implements Event {
     @Override
     public CallEventKind kind() {
--- a/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
@@ -121,6 +122,12 @@
         return CallQueuePolicy.isCallerRetry(route(), timeBudgetMillis());
     }
 
+    /** Returns the parts of the prompt that other requests may share. */
+    List<String> sharedPromptParts() {
+        List<String> parts = context.headers == null ? List.of() : context.headers.promptParts();
+        return parts.isEmpty() ? parts : parts.subList(0, parts.size() - 1);
+    }
+
     private long timeBudgetMillis() {
         return context.deadlineMillis - context.arrivedMillis;
     }
@@ -235,7 +242,8 @@
                         dispatcher.openCallsAt(failed.endpoint().id()),
                         lastEventId == null ? -1 : lastEventId,
                         failed.elapsedMillis(),
-                        isRetried));
+                        isRetried,
+                        sharedPromptParts()));
         attempt = null;
         ServiceProfile serviceProfile = profile();
         if (isRetried && end == AttemptEnd.NOT_RUN && serviceProfile != null && serviceProfile.engine() != null) {
