Prompts that crash endpoints are quarantined by all instances

Cause: calls that crash the endpoint they reach. A call cut before its first output was sent to a second endpoint, no crash was connected with the calls that waited there, and no instance knew of the crashes seen by others. Class of fault: retries without regard to what the request did to the last endpoint. Ruled out: load and map changes as the cause of the crashes. The failing test crashes endpoints by prompts alone. Change: crashes are told from resets by a connection check; suspects are shared between instances; a part in three crashes without output is quarantined (CrashHistory, PromptQuarantine, QuarantineController); verdicts are kept in the store. A stream that ends without any event counts as cut. Why it works: a part that always crashes is in every crash and never produces output; any other part misses a crash or produces output.

--- a/core/src/main/java/org/jasminehub/core/error/ErrorCode.java
+++ b/core/src/main/java/org/jasminehub/core/error/ErrorCode.java
@@ -48,6 +48,8 @@
     OVERLOADED("overloaded", 503),
     /** No endpoint currently serves the route. */
     NO_ENDPOINT("no-endpoint", 503),
+    /** Calls with a part of this prompt crashed several endpoints and are held back. */
+    PROMPT_QUARANTINED("prompt-quarantined", 503),
     /** No more attempts are allowed for the request. */
     RETRIES_EXHAUSTED("retries-exhausted", 503),
     /** The endpoint failed before its response was complete. */
--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -47,6 +47,7 @@
 import org.jasminehub.gateway.net.EndpointClient;
 import org.jasminehub.gateway.net.StoreConnection;
 import org.jasminehub.gateway.peer.PeerServer;
+import org.jasminehub.gateway.quarantine.QuarantineController;
 import org.jasminehub.gateway.telemetry.MetricsHandler;
 import org.jasminehub.platform.hosted.StoreClient;
 import org.jasminehub.wire.generated.InstanceRecord;
@@ -95,6 +96,7 @@
     private final CallRetryBudget retryBudget;
     private final CallDispatcher dispatcher;
     private final StopSequence stopSequence;
+    private final QuarantineController quarantine;
     private @Nullable CallerServer callers;
     private long clockDifferenceMillis;
     private boolean isReady;
@@ -120,19 +122,7 @@
         this.registration = new InstanceRegistration(self(settings, clock), store, timer, events, eras, random);
         this.instances = new InstanceDirectory(registration, store, StoreReads.instances(), timer, clock, events, eras);
         this.loads = new EndpointLoads(clock);
-        this.peers = new PeerExchange(
-                registration,
-                instances,
-                configuration,
-                endpoints,
-                eras,
-                loads,
-                () -> isReady,
-                settings.seeds().stream().map(EndpointAddress::parse).toList(),
-                loop,
-                timer,
-                clock,
-                events);
+        this.peers = createPeerExchange();
         this.storeReliability = new StoreReliability(eras, instances, registration, peers::isInformed, clock);
         this.experts = new ExpertCoordinator(
                 loop,
@@ -147,6 +137,7 @@
                 peers::isCoordinator);
         this.retryBudget = new CallRetryBudget(clock, settings.repeatRatio(), settings.repeatReserve(), (long)
                 (settings.repeatWindowSeconds() * TimeUnit.SECONDS.toMillis(1)));
+        this.quarantine = new QuarantineController(client, store, instances, peers, timer, random, clock, events);
         this.dispatcher = new CallDispatcher(
                 loop,
                 clock,
@@ -155,12 +146,29 @@
                 loads,
                 new EndpointChoicePolicy(loads, new FailureDomain(settings.failureDomain()), random),
                 retryBudget,
+                quarantine,
                 service -> service == null || service.engine() == null ? PLAIN_CALLS_PER_SLOT : ENGINE_CALLS_PER_SLOT,
                 random,
                 events);
         this.stopSequence = new StopSequence(settings, clock, timer, events);
     }
 
+    private PeerExchange createPeerExchange() {
+        return new PeerExchange(
+                registration,
+                instances,
+                configuration,
+                endpoints,
+                eras,
+                loads,
+                () -> isReady,
+                settings.seeds().stream().map(EndpointAddress::parse).toList(),
+                loop,
+                timer,
+                clock,
+                events);
+    }
+
     /** Returns an upper bound for the number of entry instances, 1 before they are known. */
     private int instanceCount() {
         return peers == null ? 1 : peers.maxInstances();
@@ -204,8 +212,10 @@
             instances.start(() -> {
                 retryBudget.setInstances(peers.maxInstances());
                 peers.onDirectoryChanged();
+                quarantine.onDirectoryChanged();
                 updateReadiness();
             });
+            quarantine.start(dispatcher::refuseQuarantined);
             peers.start(dispatcher::dispatchQueued);
             peers.setSlowdownSource(() -> experts.isActive() ? Optional.of(experts.slowEndpoints()) : Optional.empty());
             experts.start();
--- a/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
@@ -43,6 +43,9 @@
     /** No progress for this long counts as a stall; even the slowest group finishes several passes in that time. */
     private static final long STALL_THRESHOLD_MILLIS = 500;
 
+    /** The engine has completed a pass with the call when the second event arrives. */
+    private static final int EVENTS_OF_SOUND_PROMPT = 2;
+
     private final RunningCall call;
     private final EndpointRecord endpoint;
     private final long startedMillis;
@@ -50,6 +53,7 @@
     private @Nullable ScheduledFuture<?> timeoutTimer;
     private @Nullable ResponseRelay relay;
     private long lastEventMillis = -1;
+    private int events;
     private boolean isEnded;
 
     Attempt(RunningCall call, EndpointRecord endpoint) {
@@ -166,6 +170,11 @@
         long nowMillis = call.dispatcher().clock().monotonicMillis();
         call.dispatcher().onProgress(call.service(), endpoint, lastEventMillis < 0 ? -1 : nowMillis - lastEventMillis);
         lastEventMillis = nowMillis;
+        call.onOutput();
+        events++;
+        if (events == EVENTS_OF_SOUND_PROMPT) {
+            call.dispatcher().quarantine().onOutput(call.prompt().sharedParts());
+        }
         if (call.route().mayRetry()) {
             scheduleTimeout(EVENT_TIMEOUT_MILLIS, "no stream event within " + EVENT_TIMEOUT_MILLIS + " ms");
         }
@@ -213,12 +222,42 @@
     @Override
     public void onFailure(ExchangeFailure failure) {
         AttemptEnd end = failure == ExchangeFailure.NOT_CONNECTED ? AttemptEnd.NOT_RUN : AttemptEnd.MAY_HAVE_RUN;
-        fail(end, failure.name());
+        if (failure == ExchangeFailure.CUT) {
+            failCut(failure.name());
+        } else {
+            fail(end, failure.name());
+        }
+    }
+
+    /**
+     * Called when the connection was closed before the response was complete. If the call had no output yet, it may
+     * have crashed the endpoint, which must be known before the call is retried.
+     */
+    void failCut(String reason) {
+        if (call.hasOutput() || call.prompt().sharedParts().isEmpty()) {
+            fail(AttemptEnd.MAY_HAVE_RUN, reason);
+        } else if (close()) {
+            call.dispatcher().onAttemptFailed(endpoint, AttemptEnd.MAY_HAVE_RUN);
+            call.dispatcher()
+                    .quarantine()
+                    .inspect(
+                            endpoint,
+                            call.prompt().asCrashSuspect(),
+                            () -> call.onAttemptFailed(
+                                    this, AttemptEnd.MAY_HAVE_RUN, reason, () -> deliverFailure(reason)));
+        }
+    }
+
+    private void deliverFailure(String reason) {
+        call.respondWithFailure(AttemptEnd.MAY_HAVE_RUN, endpoint.id().value() + ": " + reason);
     }
 
     /** Called when the response has been delivered. */
     void succeed(int status) {
         if (close()) {
+            if (HttpStatusClass.SUCCESS.contains(status)) {
+                call.dispatcher().quarantine().onOutput(call.prompt().sharedParts());
+            }
             call.dispatcher().onAttemptServed(call.service(), endpoint.id());
             call.onServed(status);
         }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
@@ -26,6 +26,7 @@
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.gateway.control.EndpointController;
 import org.jasminehub.gateway.net.EndpointClient;
+import org.jasminehub.gateway.quarantine.QuarantineController;
 
 /**
  * Dispatches calls to endpoints and queues those for which no endpoint has capacity.
@@ -45,6 +46,7 @@
     private final EndpointLoads loads;
     private final EndpointChoicePolicy choicePolicy;
     private final CallRetryBudget retryBudget;
+    private final QuarantineController quarantine;
     private final RandomGenerator random;
     private final EventSink events;
     private final ConcurrencyLimits concurrency;
@@ -62,6 +64,7 @@
             EndpointLoads loads,
             EndpointChoicePolicy choicePolicy,
             CallRetryBudget retryBudget,
+            QuarantineController quarantine,
             ConcurrencyLimits concurrency,
             RandomGenerator random,
             EventSink events) {
@@ -72,6 +75,7 @@
         this.loads = loads;
         this.choicePolicy = choicePolicy;
         this.retryBudget = retryBudget;
+        this.quarantine = quarantine;
         this.concurrency = concurrency;
         this.random = random;
         this.events = events;
@@ -88,6 +92,11 @@
         List.copyOf(running).forEach(RunningCall::endWithProcess);
     }
 
+    /** Ends the calls without output whose prompts are quarantined, before they crash another endpoint. */
+    public void refuseQuarantined() {
+        List.copyOf(running).forEach(RunningCall::endIfQuarantined);
+    }
+
     /** Sends queued calls while endpoints have capacity for them. */
     public void dispatchQueued() {
         for (ServiceQueue queue : new ArrayList<>(queues.values())) {
@@ -227,6 +236,10 @@
         return random.nextDouble();
     }
 
+    QuarantineController quarantine() {
+        return quarantine;
+    }
+
     Clock clock() {
         return clock;
     }
--- /dev/null
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/QueueWait.java
@@ -0,0 +1,40 @@
+package org.jasminehub.gateway.call;
+
+import java.util.concurrent.ScheduledFuture;
+import org.jasminehub.core.time.Clock;
+import org.jspecify.annotations.Nullable;
+
+/** The time that a call spends in the queue, possibly several times, and the timer that ends the current wait. */
+final class QueueWait {
+    private static final long NOT_WAITING = -1;
+
+    private final Clock clock;
+    private @Nullable ScheduledFuture<?> timer;
+    private long startedMillis = NOT_WAITING;
+    private long totalMillis;
+
+    QueueWait(Clock clock) {
+        this.clock = clock;
+    }
+
+    void begin(ScheduledFuture<?> timeout) {
+        startedMillis = clock.monotonicMillis();
+        timer = timeout;
+    }
+
+    /** Ends the current wait, if there is one. */
+    void end() {
+        if (startedMillis != NOT_WAITING) {
+            totalMillis += clock.monotonicMillis() - startedMillis;
+            startedMillis = NOT_WAITING;
+        }
+        if (timer != null) {
+            timer.cancel(false);
+            timer = null;
+        }
+    }
+
+    long totalMillis() {
+        return totalMillis;
+    }
+}
--- a/gateway/src/main/java/org/jasminehub/gateway/call/Refusal.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/Refusal.java
@@ -41,6 +41,11 @@
         return retryable(ErrorCode.LEAVING, 0, reason);
     }
 
+    /** Returns the refusal of a call whose prompt contains the quarantined {@code parts}. */
+    static Refusal quarantined(String parts, long remainingMillis) {
+        return retryable(ErrorCode.PROMPT_QUARANTINED, remainingMillis, "prompts with " + parts + " crash endpoints");
+    }
+
     /** Writes this response; {@code requestId} is empty if the request had none. */
     void write(CallerResponse answer, String requestId) {
         HttpHeaders headers = new DefaultHttpHeaders(false);
--- a/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
@@ -2,7 +2,6 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
@@ -11,6 +10,7 @@
 import org.jasminehub.core.balance.CallRetryPolicy;
 import org.jasminehub.core.error.ErrorCode;
 import org.jasminehub.core.identity.EndpointId;
+import org.jasminehub.core.quarantine.PartCombination;
 import org.jasminehub.core.serving.EndpointRecord;
 import org.jasminehub.core.serving.Route;
 import org.jasminehub.core.serving.ServiceProfile;
@@ -39,19 +39,19 @@
     private final CallerResponse answer;
     private final CallDispatcher dispatcher;
     private final long sequence;
+    private final QueueWait queueWait;
     private final Set<EndpointId> triedEndpoints = new HashSet<>();
+    private CallPrompt prompt = CallPrompt.of(null);
     private String service = "";
     private @Nullable Attempt attempt;
     private @Nullable ScheduledFuture<?> deadlineTimer;
-    private @Nullable ScheduledFuture<?> queueTimer;
     private String lastEndpoint = "";
     private int sends;
     private int runs;
-    private long queuedSinceMillis = -1;
-    private long queuedMillis;
     private long firstByteMillis = -1;
     private @Nullable Long lastEventId;
     private boolean isHeadSent;
+    private boolean hasOutput;
     private boolean isDone;
 
     RunningCall(CallContext context, CallerResponse answer, CallDispatcher dispatcher) {
@@ -59,11 +59,13 @@
         this.answer = answer;
         this.dispatcher = dispatcher;
         this.sequence = dispatcher.nextSequence();
+        this.queueWait = new QueueWait(dispatcher.clock());
     }
 
     /** Dispatches the call; its context must have passed all filters. */
     void start() {
         lastEventId = context.headers == null ? null : context.headers.lastEventId();
+        prompt = CallPrompt.of(context.headers);
         deadlineTimer = dispatcher.after(remainingMillis(), this::onDeadline);
         dispatch();
     }
@@ -122,10 +124,8 @@
         return CallQueuePolicy.isCallerRetry(route(), timeBudgetMillis());
     }
 
-    /** Returns the parts of the prompt that other requests may share. */
-    List<String> sharedPromptParts() {
-        List<String> parts = context.headers == null ? List.of() : context.headers.promptParts();
-        return parts.isEmpty() ? parts : parts.subList(0, parts.size() - 1);
+    CallPrompt prompt() {
+        return prompt;
     }
 
     private long timeBudgetMillis() {
@@ -156,7 +156,33 @@
         }
     }
 
+    /** Returns whether an endpoint has produced output of the call. */
+    boolean hasOutput() {
+        return hasOutput || lastEventId != null;
+    }
+
+    void onOutput() {
+        hasOutput = true;
+    }
+
+    /** Refuses the call if its prompt is quarantined; returns whether it did. */
+    private boolean refuseIfQuarantined() {
+        Optional<PartCombination> part = dispatcher.quarantine().findQuarantined(prompt.sharedParts());
+        part.ifPresent(found -> endWithRefusal(
+                Refusal.quarantined(found.toString(), dispatcher.quarantine().remainingMillis(found))));
+        return part.isPresent();
+    }
+
+    void endIfQuarantined() {
+        if (!isDone && !hasOutput()) {
+            refuseIfQuarantined();
+        }
+    }
+
     private void dispatch() {
+        if (refuseIfQuarantined()) {
+            return;
+        }
         if (!dispatcher.hasEndpoints(service())) {
             endWithRefusal(
                     Refusal.retryable(ErrorCode.NO_ENDPOINT, NO_ENDPOINT_RETRY_MILLIS, "no endpoint of " + service()));
@@ -167,7 +193,6 @@
             send(endpoint.get());
             return;
         }
-        queuedSinceMillis = dispatcher.clock().monotonicMillis();
         long maxWaitMillis = CallQueuePolicy.maxWaitMillis(route(), timeBudgetMillis()) - elapsedMillis();
         if (sends > 0) {
             // Work has already been spent on the call, so it stays queued even if it will miss its target latency.
@@ -177,13 +202,13 @@
             onNoCapacity();
             return;
         }
-        queueTimer = dispatcher.after(maxWaitMillis, this::onNoCapacity);
+        queueWait.begin(dispatcher.after(maxWaitMillis, this::onNoCapacity));
         dispatcher.enqueue(this);
     }
 
     /** Sends the call to {@code endpoint}. */
     void send(EndpointRecord endpoint) {
-        leaveQueue();
+        queueWait.end();
         sends++;
         triedEndpoints.add(endpoint.id());
         lastEndpoint = endpoint.id().value();
@@ -192,17 +217,6 @@
         next.start();
     }
 
-    private void leaveQueue() {
-        if (queuedSinceMillis >= 0) {
-            queuedMillis += dispatcher.clock().monotonicMillis() - queuedSinceMillis;
-            queuedSinceMillis = -1;
-        }
-        if (queueTimer != null) {
-            queueTimer.cancel(false);
-            queueTimer = null;
-        }
-    }
-
     /** Refuses the call because no endpoint had capacity in time, or because the queue ahead of it is too long. */
     private void onNoCapacity() {
         if (!isDone) {
@@ -229,8 +243,12 @@
      * Called when the current attempt failed; retries the call, or runs {@code deliverFailure} if no retry is allowed.
      */
     void onAttemptFailed(Attempt failed, AttemptEnd end, String reason, Runnable deliverFailure) {
+        if (isDone) {
+            return;
+        }
         runs += end.isNotRun() ? 0 : 1;
         boolean isRetried = CallRetryPolicy.mayRetry(route(), end, runs, sends, remainingMillis())
+                && !dispatcher.quarantine().isSuspected(prompt.sharedParts())
                 && dispatcher.tryRetry(service());
         dispatcher
                 .events()
@@ -243,7 +261,7 @@
                         lastEventId == null ? -1 : lastEventId,
                         failed.elapsedMillis(),
                         isRetried,
-                        sharedPromptParts()));
+                        prompt.sharedParts()));
         attempt = null;
         ServiceProfile serviceProfile = profile();
         if (isRetried && end == AttemptEnd.NOT_RUN && serviceProfile != null && serviceProfile.engine() != null) {
@@ -335,7 +353,7 @@
 
     private void end(CallEventKind kind, int status, String code, String reason) {
         isDone = true;
-        leaveQueue();
+        queueWait.end();
         if (deadlineTimer != null) {
             deadlineTimer.cancel(false);
         }
@@ -361,7 +379,7 @@
                         lastEndpoint,
                         sends,
                         runs,
-                        queuedMillis,
+                        queueWait.totalMillis(),
                         firstByteMillis,
                         elapsedMillis(),
                         context.table == null ? 0 : context.table.version(),
--- a/gateway/src/main/java/org/jasminehub/gateway/call/StreamRelay.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/StreamRelay.java
@@ -63,6 +63,10 @@
             attempt.fail(AttemptEnd.MAY_HAVE_RUN, "stream ended inside an event");
             return;
         }
+        if (!call.hasOutput()) {
+            attempt.failCut("stream ended without an event");
+            return;
+        }
         attempt.succeed(status.code());
         call.answer().end();
     }
--- a/gateway/src/main/java/org/jasminehub/gateway/control/InstanceDirectory.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/InstanceDirectory.java
@@ -13,9 +13,14 @@
 import org.jasminehub.platform.hosted.StoreClient;
 import org.jasminehub.platform.hosted.StoreTopic;
 import org.jasminehub.wire.generated.InstanceRecord;
+import org.jasminehub.wire.generated.QuarantinedParts;
+import org.jspecify.annotations.Nullable;
 
 /** Holds the registered entry instances and rank agents. Must be used on the process's event loop only. */
 public final class InstanceDirectory {
+    /** Starts the keys of quarantined parts, which are kept in the same log; the rest is the parts. */
+    public static final String QUARANTINE_KEY_PREFIX = "quarantine/";
+
     /** Covers the spread of new registrations after a restore and a few retries. */
     private static final long MISSING_INSTANCE_KEPT_MILLIS = 5_000;
 
@@ -25,6 +30,7 @@
     private final Clock clock;
     private final LogFollower follower;
     private final Map<String, InstanceRecord> instances = new HashMap<>();
+    private final Map<String, Long> quarantinedUntilWallMillis = new HashMap<>();
     private Runnable onChanged = () -> {};
     private boolean hasRead;
 
@@ -88,6 +94,11 @@
                 .toList();
     }
 
+    /** Returns the recorded quarantined parts of prompts with the end of their quarantine in wall-clock time. */
+    public Map<String, Long> quarantinedParts() {
+        return Map.copyOf(quarantinedUntilWallMillis);
+    }
+
     /** Returns whether the directory has been read from the store. */
     public boolean hasRead() {
         return hasRead;
@@ -125,6 +136,10 @@
 
     private void onRecord(KeyedRecord record) {
         byte[] value = record.value();
+        if (record.key().startsWith(QUARANTINE_KEY_PREFIX) && record.key().length() > QUARANTINE_KEY_PREFIX.length()) {
+            onQuarantineRecord(record.key().substring(QUARANTINE_KEY_PREFIX.length()), value);
+            return;
+        }
         if (value == null) {
             if (instances.remove(record.key()) != null) {
                 emit(record.key(), "gone");
@@ -142,6 +157,23 @@
         }
     }
 
+    private void onQuarantineRecord(String parts, byte @Nullable [] value) {
+        try {
+            if (value == null) {
+                quarantinedUntilWallMillis.remove(parts);
+            } else {
+                quarantinedUntilWallMillis.put(
+                        parts, QuarantinedParts.parseFrom(value).getUntilWallMillis());
+            }
+        } catch (InvalidProtocolBufferException e) {
+            events.emit(new ControlEvent(
+                    ControlEventKind.RECORD_REJECTED,
+                    QUARANTINE_KEY_PREFIX + parts,
+                    String.valueOf(e.getMessage()),
+                    0));
+        }
+    }
+
     private void emit(String instance, String detail) {
         events.emit(new ControlEvent(ControlEventKind.INSTANCE_CHANGED, instance, detail, 0));
     }
--- a/gateway/src/main/java/org/jasminehub/gateway/control/PeerExchange.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/PeerExchange.java
@@ -79,6 +79,7 @@
     private final Map<String, PeerState> peers = new TreeMap<>();
     private final TreeMap<Long, StateAge.ClockReading> sentAtByToken = new TreeMap<>();
     private final StateAge clockReadings;
+    private final List<PeerExtension> extensions = new ArrayList<>();
     private Runnable onLoadsChanged = () -> {};
     private Supplier<Optional<Map<EndpointId, Double>>> slowdownSource = Optional::empty;
     private PeerStatus lastSent = PeerStatus.getDefaultInstance();
@@ -120,6 +121,16 @@
         slowdownSource = source;
     }
 
+    /** Adds a user of the connections. */
+    public void addExtension(PeerExtension extension) {
+        extensions.add(extension);
+    }
+
+    /** Sends {@code message} to all connected peers. */
+    public void broadcast(PeerEnvelope message) {
+        links.values().forEach(link -> link.send(message));
+    }
+
     /** Starts the exchange; {@code loadsChanged} runs after each status received from a peer. */
     public void start(Runnable loadsChanged) {
         onLoadsChanged = loadsChanged;
@@ -227,8 +238,7 @@
         while (sentAtByToken.size() > MAX_OPEN_TOKENS) {
             sentAtByToken.pollFirstEntry();
         }
-        PeerEnvelope message = PeerEnvelope.newBuilder().setPeerStatus(status).build();
-        links.values().forEach(link -> link.send(message));
+        broadcast(PeerEnvelope.newBuilder().setPeerStatus(status).build());
     }
 
     private PeerStatus status() {
@@ -267,6 +277,7 @@
     @Override
     public void onConnected(PeerConnection connection) {
         // The peer identifies itself with its first status.
+        extensions.forEach(extension -> extension.onPeerConnected(connection::send));
     }
 
     @Override
@@ -278,6 +289,8 @@
         } else if (message.hasConfigurationCopy()) {
             configuration.onPeerConfiguration(
                     message.getConfigurationCopy().getConfiguration().toByteArray());
+        } else {
+            extensions.forEach(extension -> extension.onPeerMessage(message));
         }
     }
 
--- a/gateway/src/main/java/org/jasminehub/gateway/net/EndpointClient.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/EndpointClient.java
@@ -3,6 +3,8 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -15,6 +17,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.function.Consumer;
 import jdk.net.ExtendedSocketOptions;
 import org.jasminehub.core.time.Clock;
 import org.jspecify.annotations.Nullable;
@@ -142,6 +145,19 @@
         return exchange;
     }
 
+    /** Determines whether {@code address} accepts connections; opens one and closes it without a request. */
+    public void checkListening(EndpointAddress address, Consumer<Boolean> result) {
+        connectionsOpened++;
+        bootstrap
+                .clone()
+                .handler(new ChannelInboundHandlerAdapter())
+                .connect(address.host(), address.port())
+                .addListener((ChannelFutureListener) connected -> {
+                    connected.channel().close();
+                    result.accept(connected.isSuccess());
+                });
+    }
+
     private @Nullable EndpointConnection pollIdle(EndpointAddress address) {
         Deque<EndpointConnection> pooled = idle.get(address);
         long nowMillis = clock.monotonicMillis();
--- a/gateway/src/test/java/org/jasminehub/gateway/CrashingPromptTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/CrashingPromptTest.java
@@ -107,4 +107,69 @@
             }
         }
     }
+
+    /** Several instances, each of which sees only some of the requests. */
+    @Nested
+    final class AtSeveralInstances {
+        private final List<GatewayHarness> gateways = new ArrayList<>();
+
+        @AfterEach
+        void stop() {
+            // The first one owns the store.
+            for (int index = gateways.size() - 1; index >= 0; index--) {
+                gateways.get(index).close();
+            }
+        }
+
+        private void start() throws IOException {
+            GatewayHarness first = GatewayHarness.withPeers("entry-1");
+            gateways.add(first);
+            gateways.add(first.startPeer("entry-2"));
+            gateways.add(first.startPeer("entry-3"));
+            gateways.forEach(CrashingPromptTest.this::register);
+            for (GatewayHarness gateway : gateways) {
+                GatewayHarness.await(() -> gateway.entry().acceptingNames().size() == gateways.size());
+            }
+        }
+
+        @Test
+        void testCrashesSeenByDifferentInstancesAreCountedTogether() throws Exception {
+            start();
+            for (GatewayHarness gateway : gateways) {
+                assertTrue(gateway.exchange(sound(100)).startsWith("HTTP/1.1 200"));
+            }
+
+            for (int number = 0; number < BAD_REQUESTS; number++) {
+                gateways.get(number % gateways.size()).exchange(bad(number));
+            }
+
+            assertTrue(crashed() <= MAX_CRASHES, crashed() + " endpoints crashed");
+            for (GatewayHarness gateway : gateways) {
+                gateway.awaitQuarantine(BAD_PART);
+                assertTrue(gateway.exchange(bad(BAD_REQUESTS)).startsWith("HTTP/1.1 503"));
+                assertTrue(gateway.exchange(sound(BAD_REQUESTS)).startsWith("HTTP/1.1 200"));
+            }
+        }
+
+        @Test
+        void testAQuarantineOutlivesTheProcessesThatDecidedOnIt() throws Exception {
+            start();
+            GatewayHarness first = gateways.get(0);
+            assertTrue(first.exchange(sound(100)).startsWith("HTTP/1.1 200"));
+            for (int number = 0; number < BAD_REQUESTS; number++) {
+                first.exchange(bad(number));
+            }
+            GatewayHarness.await(() -> first.store().count("keyed.jasminehub-instances", "quarantine/" + BAD_PART) > 0);
+            gateways.forEach(gateway -> gateway.entry().stop());
+            long sentBefore = badRequests();
+
+            GatewayHarness restarted = first.startPeer("entry-1");
+            gateways.add(restarted);
+            restarted.configure(1, KEY);
+            restarted.awaitQuarantine(BAD_PART);
+
+            assertTrue(restarted.exchange(bad(BAD_REQUESTS)).startsWith("HTTP/1.1 503"));
+            assertEquals(sentBefore, badRequests());
+        }
+    }
 }
--- a/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -22,7 +23,10 @@
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.gateway.control.ControlEvent;
 import org.jasminehub.gateway.control.ControlEventKind;
+import org.jasminehub.gateway.quarantine.QuarantineEvent;
+import org.jasminehub.gateway.quarantine.QuarantineEventKind;
 import org.jasminehub.runtime.time.SystemClock;
+import org.jspecify.annotations.Nullable;
 
 /** A real entry instance on loopback, with an in-memory store. */
 final class GatewayHarness implements AutoCloseable {
@@ -72,8 +76,11 @@
         }
     }
 
+    private static final String ANY_PORT = "127.0.0.1:0";
+
     private final EventLoop storeLoop;
     private final InMemoryStore store;
+    private final boolean ownsStore;
     private final ShiftableClock clock = new ShiftableClock();
     private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
     private final EntryProgram entry;
@@ -83,18 +90,21 @@
     }
 
     GatewayHarness(double graceSeconds) {
-        storeLoop = new MultiThreadIoEventLoopGroup(
-                        1, new DefaultThreadFactory("store", true), NioIoHandler.newFactory())
-                .next();
-        store = new InMemoryStore(storeLoop);
-        String anyPort = "127.0.0.1:0";
+        this("entry-1", ANY_PORT, graceSeconds, newStoreLoop(), null);
+    }
+
+    private GatewayHarness(
+            String name, String peerAddress, double graceSeconds, EventLoop storeLoop, @Nullable InMemoryStore shared) {
+        this.storeLoop = storeLoop;
+        this.ownsStore = shared == null;
+        this.store = shared == null ? new InMemoryStore(storeLoop) : shared;
         GatewaySettings settings = new GatewaySettings(
-                "entry-1",
+                name,
                 "a",
-                anyPort,
-                anyPort,
-                anyPort,
-                anyPort,
+                ANY_PORT,
+                ANY_PORT,
+                ANY_PORT,
+                peerAddress,
                 0,
                 1,
                 List.of(),
@@ -112,6 +122,28 @@
         entry.start();
     }
 
+    private static EventLoop newStoreLoop() {
+        return new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("store", true), NioIoHandler.newFactory())
+                .next();
+    }
+
+    /** Starts an instance that other instances can connect to. */
+    static GatewayHarness withPeers(String name) throws IOException {
+        return new GatewayHarness(name, freeAddress(), GRACE_SECONDS, newStoreLoop(), null);
+    }
+
+    /** Starts another instance with the store of this one. */
+    GatewayHarness startPeer(String name) throws IOException {
+        return new GatewayHarness(name, freeAddress(), GRACE_SECONDS, storeLoop, store);
+    }
+
+    /** Peers connect to the registered port, so it must be known before the start. */
+    private static String freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return "127.0.0.1:" + socket.getLocalPort();
+        }
+    }
+
     InMemoryStore store() {
         return store;
     }
@@ -155,6 +187,14 @@
         await(() -> hasEvent(kind, subject));
     }
 
+    /** Waits until calls with {@code parts} of a prompt are held back here. */
+    void awaitQuarantine(String parts) {
+        await(() -> events.stream()
+                .anyMatch(event -> event instanceof QuarantineEvent quarantine
+                        && quarantine.kind() == QuarantineEventKind.PART_QUARANTINED
+                        && quarantine.subject().equals(parts)));
+    }
+
     boolean hasEvent(ControlEventKind kind, String subject) {
         return events.stream()
                 .anyMatch(event -> event instanceof ControlEvent control
@@ -201,7 +241,9 @@
     @Override
     public void close() {
         entry.stop();
-        store.close();
-        storeLoop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+        if (ownsStore) {
+            store.close();
+            storeLoop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+        }
     }
 }
