A stopping instance accepts nothing after the end of its stop

Change: the end of the stop closes the listener in the same turn of the event loop, and nothing is accepted from then on.

--- a/core/src/main/java/org/jasminehub/core/drain/EntryDrain.java
+++ b/core/src/main/java/org/jasminehub/core/drain/EntryDrain.java
@@ -49,6 +49,11 @@
         return phase;
     }
 
+    /** Returns whether the instance has stopped and accepts no requests at all. */
+    public boolean isStopped() {
+        return phase == DrainPhase.STOPPED;
+    }
+
     /** Returns whether new requests are accepted. */
     public boolean acceptsRequests() {
         return phase == DrainPhase.ANNOUNCED;
--- a/gateway/src/main/java/org/jasminehub/gateway/StopSequence.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/StopSequence.java
@@ -34,12 +34,14 @@
     private final DelayedRunner timer;
     private final EventSink events;
     private final CountDownLatch done = new CountDownLatch(1);
+    private final long graceMillis;
     private @Nullable EntryDrain drain;
     private long startedMillis;
 
     StopSequence(GatewaySettings settings, Clock clock, DelayedRunner timer, EventSink events) {
         this.settings = settings;
-        this.policy = policy((long) (settings.graceSeconds() * TimeUnit.SECONDS.toMillis(1)));
+        this.graceMillis = (long) (settings.graceSeconds() * TimeUnit.SECONDS.toMillis(1));
+        this.policy = policy(graceMillis);
         this.clock = clock;
         this.timer = timer;
         this.events = events;
@@ -65,7 +67,8 @@
 
     @Override
     public boolean accepts(long limitMillis) {
-        return drain == null || policy.accepts(elapsedMillis(), limitMillis);
+        EntryDrain started = drain;
+        return started == null || (!started.isStopped() && policy.accepts(elapsedMillis(), limitMillis));
     }
 
     private void poll(EntryDrain started, CallerServer callers, CallDispatcher calls) {
@@ -79,6 +82,7 @@
                     settings.instance(),
                     calls.openCalls() + " calls still open after " + elapsedMillis() + " ms",
                     0));
+            callers.stopListening();
             calls.endOpenCalls();
             finish();
             return;
--- a/gateway/src/main/java/org/jasminehub/gateway/net/CallerServer.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/CallerServer.java
@@ -104,16 +104,21 @@
         isStopping = true;
     }
 
-    /** Closes the connections without a request in progress. */
+    /** Closes the connections that have had no request in progress for a while. */
     public void closeIdle() {
         for (Channel channel : List.copyOf(open)) {
             channel.pipeline().get(CallerConnection.class).closeIfIdle(channel);
         }
     }
 
+    /** Accepts no further connections. */
+    public void stopListening() {
+        listening.close();
+    }
+
     /** Stops listening and closes all connections. */
     public void close() {
-        listening.close();
+        stopListening();
         List.copyOf(open).forEach(Channel::close);
     }
 
