--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -373,6 +373,7 @@
 
     /** Completes the open calls and deregisters; blocks until that is done or the grace time is nearly over. */
     void stop() {
+        long signalledMillis = clock.monotonicMillis();
         loop.execute(() -> {
             isStopping = true;
             updateReadiness();
@@ -383,7 +384,7 @@
                 stopSequence.finish();
             } else {
                 open.disableKeepAlive();
-                stopSequence.run(open, dispatcher);
+                stopSequence.run(open, dispatcher, signalledMillis);
             }
         });
         stopSequence.await();
--- a/gateway/src/main/java/org/jasminehub/gateway/StopSequence.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/StopSequence.java
@@ -55,9 +55,13 @@
         return new EntryDrainPolicy(listLagMillis, addressTtlMillis, maxDrainMillis);
     }
 
-    /** Starts the sequence; the instance must not be listed for callers any more. */
-    void run(CallerServer callers, CallDispatcher calls) {
-        startedMillis = clock.monotonicMillis();
+    /**
+     * Starts the sequence; the instance must not be listed for callers any more.
+     *
+     * @param signalledMillis when the process was asked to stop, by the monotonic clock
+     */
+    void run(CallerServer callers, CallDispatcher calls, long signalledMillis) {
+        startedMillis = signalledMillis;
         events.emit(new ControlEvent(
                 ControlEventKind.PROCESS_STOPPING, settings.instance(), calls.openCalls() + " open calls", 0));
         EntryDrain started = new EntryDrain(settings.instance(), policy, callers::connections, clock, events);
@@ -100,7 +104,7 @@
 
     void await() {
         try {
-            done.await((long) settings.graceSeconds(), TimeUnit.SECONDS);
+            done.await(graceMillis, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
