Connections are idle only after half a second without a request

Change: a connection is closed after ten checks in a row (0.5 s) without a request. A stop without calls lasts 0.5 s longer.

--- a/gateway/src/main/java/org/jasminehub/gateway/net/CallerConnection.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/CallerConnection.java
@@ -33,6 +33,9 @@
     /** Maximum number of parsed parts of later requests; above it, reading from the connection stops. */
     private static final int MAX_PENDING_PARTS = 64;
 
+    /** A caller that has just connected or received a response may have sent a request that is still in transit. */
+    private static final int IDLE_CHECKS_BEFORE_CLOSE = 10;
+
     private final CallerServer server;
     private final CallerLimits limits;
     private final Deque<HttpObject> pendingParts = new ArrayDeque<>();
@@ -41,6 +44,7 @@
     private @Nullable CallerExchange exchange;
     private @Nullable ResponseWriter writer;
     private @Nullable ScheduledFuture<?> timer;
+    private int idleChecks;
     private boolean isClosing;
 
     CallerConnection(CallerServer server, CallerLimits limits) {
@@ -156,6 +160,7 @@
     }
 
     private void onResponseSent(ChannelHandlerContext context, boolean closes) {
+        idleChecks = 0;
         writer = null;
         exchange = null;
         if (closes) {
@@ -182,9 +187,10 @@
         }
     }
 
-    /** Closes the connection if no request is being received or processed. */
+    /** Closes the connection if no request has been received or processed during the last few calls of this method. */
     void closeIfIdle(Channel channel) {
-        if (writer == null && head == null) {
+        idleChecks = writer == null && head == null ? idleChecks + 1 : 0;
+        if (idleChecks >= IDLE_CHECKS_BEFORE_CLOSE) {
             isClosing = true;
             channel.close();
         }
