--- a/gateway/src/main/java/org/jasminehub/gateway/net/CallerConnection.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/CallerConnection.java
@@ -263,7 +263,8 @@
 
         /** Only the head can announce the close; without the announcement the caller may have sent its next request. */
         private void markClose(HttpHeaders headers) {
-            closes |= server.isStopping();
+            // A request that has been read behind this one gets its response before the connection closes.
+            closes |= server.isStopping() && pendingParts.isEmpty();
             if (closes) {
                 headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
