Seeded soak of planned stops: every request that was read gets a complete response

Callers keep using open connections and the old address until the process has ended; the end of the process is played by shutting down its event loop, which closes all sockets.

--- a/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
@@ -20,6 +20,8 @@
 import java.util.function.BooleanSupplier;
 import org.jasminehub.core.event.Event;
 import org.jasminehub.core.time.Clock;
+import org.jasminehub.gateway.call.AttemptFailed;
+import org.jasminehub.gateway.call.CallEnded;
 import org.jasminehub.gateway.control.ControlEvent;
 import org.jasminehub.gateway.control.ControlEventKind;
 import org.jasminehub.runtime.time.SystemClock;
@@ -29,6 +31,8 @@
     /** Far longer than any step takes, so a test that reaches it has failed. */
     static final Duration TIMEOUT = Duration.ofSeconds(20);
 
+    private static final long QUIET_MILLIS = 10;
+
     /** Short, because no caller is left when a test ends. */
     private static final double GRACE_SECONDS = 0.45;
 
@@ -162,6 +166,16 @@
                         && control.subject().equals(subject));
     }
 
+    /** Returns the logged events about the call {@code id}, in order; empty if the instance never processed it. */
+    List<Event> callEvents(String id) {
+        return events.stream()
+                .filter(event ->
+                        (event instanceof CallEnded ended && ended.requestId().equals(id))
+                                || (event instanceof AttemptFailed failed
+                                        && failed.requestId().equals(id)))
+                .toList();
+    }
+
     /** Waits until a condition holds that another thread establishes. */
     static void await(BooleanSupplier condition) {
         long endNanos = System.nanoTime() + TIMEOUT.toNanos();
@@ -198,9 +212,23 @@
         return new String(in.readAllBytes(), StandardCharsets.UTF_8);
     }
 
+    /** Stops the instance as a SIGTERM does and closes all its sockets, as the end of its process does. */
+    void stopProcess() {
+        entry.stop();
+        EventLoop loop = entry.client().loop();
+        // Without a quiet period, Netty may end the loop before it has closed the channels.
+        loop.shutdownGracefully(QUIET_MILLIS, TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        await(loop::isTerminated);
+        closeStore();
+    }
+
     @Override
     public void close() {
         entry.stop();
+        closeStore();
+    }
+
+    private void closeStore() {
         store.close();
         storeLoop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
     }
--- a/gateway/src/test/java/org/jasminehub/gateway/ScriptedEndpoint.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/ScriptedEndpoint.java
@@ -12,6 +12,7 @@
 import java.util.Queue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** An endpoint that answers each request with the next reply of its script, over real sockets. */
 final class ScriptedEndpoint implements AutoCloseable {
@@ -38,6 +39,7 @@
     private final Queue<Reply> script;
     private final BlockingQueue<Request> requests = new LinkedBlockingQueue<>();
     private final BlockingQueue<Boolean> closes = new LinkedBlockingQueue<>();
+    private final AtomicInteger openConnections = new AtomicInteger();
 
     /** Starts an endpoint that takes its replies from {@code script}, which may be shared with other endpoints. */
     ScriptedEndpoint(Queue<Reply> script) throws IOException {
@@ -62,6 +64,11 @@
         return closes;
     }
 
+    /** Returns the number of accepted connections that are not closed yet. */
+    int openConnections() {
+        return openConnections.get();
+    }
+
     static void write(Socket socket, String text) throws IOException {
         OutputStream out = socket.getOutputStream();
         out.write(text.getBytes(StandardCharsets.UTF_8));
@@ -96,6 +103,7 @@
         while (!listener.isClosed()) {
             try {
                 Socket socket = listener.accept();
+                openConnections.incrementAndGet();
                 Thread thread = new Thread(() -> serve(socket), "endpoint-connection");
                 thread.setDaemon(true);
                 thread.start();
@@ -120,6 +128,8 @@
             }
         } catch (IOException e) {
             closes.add(true);
+        } finally {
+            openConnections.decrementAndGet();
         }
     }
 
--- /dev/null
+++ b/gateway/src/test/java/org/jasminehub/gateway/SoakReply.java
@@ -0,0 +1,108 @@
+package org.jasminehub.gateway;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+/**
+ * Answers, refuses, resets or ignores requests after seeded delays. What happens to a request depends only on the seed,
+ * the id of the request and the number of its earlier arrivals.
+ */
+final class SoakReply implements ScriptedEndpoint.Reply {
+    private static final double REFUSED_SHARE = 0.06;
+    /** The share of requests that nearly every endpoint refuses, as an overloaded service does. */
+    private static final double UNWANTED_SHARE = 0.05;
+
+    private static final double UNWANTED_REFUSED_SHARE = 0.9;
+    private static final double RESET_SHARE = 0.03;
+    private static final double SILENT_SHARE = 0.03;
+    private static final int MAX_EVENT_GAP_MILLIS = 300;
+
+    private final long seed;
+    private final Map<String, SoakCall> callsById;
+
+    SoakReply(long seed, Map<String, SoakCall> callsById) {
+        this.seed = seed;
+        this.callsById = callsById;
+    }
+
+    @Override
+    public boolean answer(ScriptedEndpoint.Request request, Socket socket) throws IOException {
+        SoakCall call = callsById.get(request.header("x-attempt-id"));
+        if (call == null) {
+            throw new AssertionError("request without a known id: " + request.head());
+        }
+        SplittableRandom random = new SplittableRandom(
+                seed * 31 + call.id().hashCode() + 7L * call.arrivals().size());
+        boolean isUnwanted = new SplittableRandom(seed + call.id().hashCode()).nextDouble() < UNWANTED_SHARE;
+        double refusedShare = isUnwanted ? UNWANTED_REFUSED_SHARE : REFUSED_SHARE;
+        double kind = random.nextDouble();
+        SoakCall.Action action = kind < refusedShare
+                ? SoakCall.Action.REFUSED
+                : kind < refusedShare + RESET_SHARE ? SoakCall.Action.RESET : SoakCall.Action.ANSWERED;
+        boolean isSilent = action == SoakCall.Action.ANSWERED && kind < refusedShare + RESET_SHARE + SILENT_SHARE;
+        SoakCall.Arrival arrival = call.onArrival(isSilent ? "which stays silent" : "which will end as " + action);
+        if (action == SoakCall.Action.REFUSED) {
+            pause(random.nextInt(50));
+            // Recorded first, because the caller may have the response before this thread continues.
+            call.onEndpointDone(arrival, action);
+            ScriptedEndpoint.write(
+                    socket,
+                    "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: " + call.id()
+                            + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            return true;
+        }
+        pause(delayMillis(random));
+        int from =
+                request.header("last-event-id").isEmpty() ? 1 : Integer.parseInt(request.header("last-event-id")) + 1;
+        int stopAfter = action == SoakCall.Action.RESET || isSilent
+                ? from + random.nextInt(1 + call.eventCount())
+                : Integer.MAX_VALUE;
+        if (call.kind() == SoakCall.Kind.STREAM) {
+            writeEvents(call, socket, from, Math.min(call.eventCount(), stopAfter), random);
+        }
+        if (isSilent) {
+            return true;
+        }
+        call.onEndpointDone(arrival, action);
+        if (action == SoakCall.Action.RESET) {
+            return ScriptedEndpoint.reset().answer(request, socket);
+        }
+        if (call.kind() == SoakCall.Kind.STREAM) {
+            ScriptedEndpoint.write(socket, "0\r\n\r\n");
+            return true;
+        }
+        return ScriptedEndpoint.ok("whole").answer(request, socket);
+    }
+
+    private static void writeEvents(SoakCall call, Socket socket, int from, int to, SplittableRandom random)
+            throws IOException {
+        ScriptedEndpoint.write(
+                socket,
+                "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + call.id()
+                        + "\r\nX-Response-Signature: s\r\nContent-Type: text/event-stream\r\n"
+                        + "Transfer-Encoding: chunked\r\n\r\n");
+        int maxGapMillis = 1 + random.nextInt(MAX_EVENT_GAP_MILLIS);
+        for (int id = from; id <= to; id++) {
+            String event = "id: " + id + "\ndata: " + System.nanoTime() + "\n\n";
+            ScriptedEndpoint.write(socket, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
+            pause(random.nextInt(maxGapMillis));
+        }
+    }
+
+    /** Returns a delay that is short for most requests and longer than the grace time for a few. */
+    private static int delayMillis(SplittableRandom random) {
+        int kind = random.nextInt(20);
+        if (kind < 12) {
+            return random.nextInt(60);
+        }
+        return kind < 18 ? random.nextInt(800) : 500 + random.nextInt(4_000);
+    }
+
+    private static void pause(int millis) {
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis));
+    }
+}
