--- a/gateway/src/test/java/org/jasminehub/gateway/SoakInvariants.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/SoakInvariants.java
@@ -73,7 +73,10 @@
         if (call.kind() != SoakCall.Kind.STREAM || call.arrivals().isEmpty() || response == null) {
             return false;
         }
-        boolean isBrokenOff = call.arrivals().stream().anyMatch(arrival -> arrival.action() == SoakCall.Action.RESET);
+        SoakCall.Arrival last = call.arrivals().get(call.arrivals().size() - 1);
+        // A stream that its endpoint broke off and that no endpoint resumed.
+        boolean isBrokenOff = call.arrivals().stream().anyMatch(arrival -> arrival.action() == SoakCall.Action.RESET)
+                && (last.action() == SoakCall.Action.RESET || last.action() == SoakCall.Action.REFUSED);
         if (response.status() == 200 && isBrokenOff) {
             return true;
         }
@@ -81,7 +84,6 @@
         double latestRequestNanos =
                 gateway.signalNanos() + LATEST_REQUEST_SHARE * gateway.graceSeconds() * NANOS_PER_SECOND;
         double cutAllowedNanos = gateway.signalNanos() + CUT_ALLOWED_SHARE * gateway.graceSeconds() * NANOS_PER_SECOND;
-        SoakCall.Arrival last = call.arrivals().get(call.arrivals().size() - 1);
         boolean isStillWorking = last.action() == SoakCall.Action.UNFINISHED || last.endedNanos() >= cutAllowedNanos;
         return call.lastWriteNanos() <= latestRequestNanos && isStillWorking && call.endedNanos() >= cutAllowedNanos;
     }
