A stream's head is sent with its first event

Change: the head goes out with the first event, or with the end of a resumed stream. Until then the call can still be answered with an error, and a repeat at another endpoint sends its own head.

--- a/gateway/src/main/java/org/jasminehub/gateway/call/StreamRelay.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/StreamRelay.java
@@ -1,5 +1,6 @@
 package org.jasminehub.gateway.call;
 
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.jasminehub.core.balance.AttemptEnd;
@@ -19,6 +20,7 @@
     private final Attempt attempt;
     private final EventSplitter splitter = new EventSplitter();
     private HttpResponseStatus status = HttpResponseStatus.OK;
+    private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
 
     StreamRelay(RunningCall call, Attempt attempt) {
         this.call = call;
@@ -26,11 +28,15 @@
     }
 
     @Override
-    public void begin(HttpResponseStatus responseStatus, HttpHeaders headers, ResponseHeaders parsedHeaders) {
+    public void begin(HttpResponseStatus responseStatus, HttpHeaders responseHeaders, ResponseHeaders parsedHeaders) {
         status = responseStatus;
+        headers = responseHeaders;
+    }
+
+    /** Sends the head with the first event, since a call without an event can still be answered with an error. */
+    private void sendHead() {
         if (!call.isHeadSent()) {
-            call.answer()
-                    .begin(responseStatus, ResponseHeadersAdapter.forCaller(headers), CallerResponse.UNKNOWN_LENGTH);
+            call.answer().begin(status, ResponseHeadersAdapter.forCaller(headers), CallerResponse.UNKNOWN_LENGTH);
             call.onHeadSent();
         }
     }
@@ -44,6 +50,7 @@
                 attempt.fail(AttemptEnd.MAY_HAVE_RUN, "event " + id + " received after event " + last);
                 return;
             }
+            sendHead();
             call.answer().part(event.bytes());
             if (id != null) {
                 call.onEventDelivered(id);
@@ -67,6 +74,7 @@
             attempt.failCut("stream ended without an event");
             return;
         }
+        sendHead();
         attempt.succeed(status.code());
         call.answer().end();
     }
--- a/gateway/src/test/java/org/jasminehub/gateway/StreamsTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/StreamsTest.java
@@ -44,6 +44,27 @@
             };
         }
 
+        @Test
+        void testAStreamThatBreaksOffBeforeItsFirstEventIsAnsweredWithAnError() throws Exception {
+            serveWithBothEndpoints();
+            script.add(events(1, 0, "", false));
+            script.add(events(1, 0, "", false));
+
+            String answer = gateway.exchange(stream("r-1"));
+
+            assertTrue(answer.startsWith("HTTP/1.1 502"), answer);
+        }
+
+        @Test
+        void testAResumedStreamWithoutFurtherEventsIsComplete() throws Exception {
+            serveWithOneEndpoint();
+            script.add(events(1, 0, "", true));
+
+            String answer = gateway.exchange(stream("r-1").replaceFirst("\r\n", "\r\nLast-Event-Id: 3\r\n"));
+
+            assertTrue(answer.startsWith("HTTP/1.1 200") && answer.endsWith("0\r\n\r\n"), answer);
+        }
+
         @Test
         void testAStreamThatOnlyDripsIsGivenUpAndResumedElsewhere() throws Exception {
             serveWithBothEndpoints();
