Endpoints that announce their leaving in a response get no new calls

Callers were sent to servers that had already said "Server-Leaving: 1" in their answers, until the registration followed: on the code before, nothing read that header.

ExchangeMonitor now sees the head of every response of an exchange before the call does, also of responses that belong to no open request, and is asked once more right before a request is written. EndpointController keeps the mark by id and start of the run (LeavingEndpoints) while it is registered and 60 s longer, since a registration may reappear. If all endpoints of a service are draining or leaving, new and queued calls get 503 no-endpoint with Retry-After at once, no retry budget is used, and a slow attempt that runs there is not given up.

Ruled out: reading the header in Attempt (misses discarded responses and the coordinator's calls); marking by address (addresses are used again; a 421 without X-Instance-Id marks nobody). Not done: marks are not shared with peers, and a rank agent does not pass on what its engine announces.

--- a/app/src/test/java/org/jasminehub/app/PlatformBoundaryTest.java
+++ b/app/src/test/java/org/jasminehub/app/PlatformBoundaryTest.java
@@ -17,6 +17,7 @@
     private static final Path ROOT = Path.of("..");
     private static final Pattern PLATFORM_NAMES = Pattern.compile("\"(X-(Attempt-Id|Not-Executed|Expected-Instance"
             + "|Response-Signature|Prompt-Prefix|Token-Counts|Tenant|Instance-Id|Deadline-Milliseconds|Length-Hint)"
+            + "|Server-Leaving"
             + "|keyed\\.(op|servers)|traffic_split|path_prefix|api_keys|gap_aim_ms|expert_share)\""
             + "|\"/(log-(read|append|newest|join|commit)|picked|resolution|readiness|order|report)");
 
--- a/core/src/main/java/org/jasminehub/core/balance/EndpointEligibility.java
+++ b/core/src/main/java/org/jasminehub/core/balance/EndpointEligibility.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.jasminehub.core.serving.EndpointRecord;
 
 /**
@@ -17,8 +18,13 @@
 public final class EndpointEligibility {
     private EndpointEligibility() {}
 
-    /** Returns the endpoints that accept new calls, grouped by service. */
-    public static Map<String, List<EndpointRecord>> serving(Collection<EndpointRecord> registered) {
+    /**
+     * Returns the endpoints that accept new calls, grouped by service.
+     *
+     * @param isLeaving whether an endpoint is leaving although its registration does not say so
+     */
+    public static Map<String, List<EndpointRecord>> serving(
+            Collection<EndpointRecord> registered, Predicate<EndpointRecord> isLeaving) {
         Map<String, Long> newestStartMillis = new HashMap<>();
         for (EndpointRecord endpoint : registered) {
             newestStartMillis.merge(hostAndPort(endpoint), endpoint.startedWallMillis(), Math::max);
@@ -27,7 +33,7 @@
         for (EndpointRecord endpoint : registered) {
             boolean isSuperseded = endpoint.startedWallMillis()
                     < newestStartMillis.getOrDefault(hostAndPort(endpoint), endpoint.startedWallMillis());
-            if (!endpoint.isDraining() && !isSuperseded) {
+            if (!endpoint.isDraining() && !isLeaving.test(endpoint) && !isSuperseded) {
                 eligible.computeIfAbsent(endpoint.service(), service -> new ArrayList<>())
                         .add(endpoint);
             }
--- a/core/src/main/java/org/jasminehub/core/serving/EndpointRecord.java
+++ b/core/src/main/java/org/jasminehub/core/serving/EndpointRecord.java
@@ -37,6 +37,11 @@
         Checks.positive("slots", slots);
     }
 
+    /** Returns the run of the endpoint that this record describes. */
+    public EndpointIncarnation incarnation() {
+        return new EndpointIncarnation(id, startedWallMillis);
+    }
+
     /** Returns whether both records describe the same run of the same endpoint. */
     public boolean isSameIncarnation(EndpointRecord other) {
         return id.equals(other.id) && startedWallMillis == other.startedWallMillis;
--- a/core/src/test/java/org/jasminehub/core/balance/EndpointEligibilityTest.java
+++ b/core/src/test/java/org/jasminehub/core/balance/EndpointEligibilityTest.java
@@ -24,7 +24,7 @@
     @Test
     void testOlderEndpointAtSameAddressIsNotEligible() {
         Map<String, List<EndpointRecord>> eligible = EndpointEligibility.serving(
-                List.of(endpoint("old", "s", 1, 100, false), endpoint("new", "s", 1, 200, false)));
+                List.of(endpoint("old", "s", 1, 100, false), endpoint("new", "s", 1, 200, false)), endpoint -> false);
 
         assertEquals(List.of("new"), names(eligible, "s"));
     }
@@ -32,7 +32,7 @@
     @Test
     void testOlderEndpointIsNotEligibleIfAnotherServiceReusesItsAddress() {
         Map<String, List<EndpointRecord>> eligible = EndpointEligibility.serving(
-                List.of(endpoint("old", "s", 1, 100, false), endpoint("new", "t", 1, 200, false)));
+                List.of(endpoint("old", "s", 1, 100, false), endpoint("new", "t", 1, 200, false)), endpoint -> false);
 
         assertEquals(List.of(), names(eligible, "s"));
         assertEquals(List.of("new"), names(eligible, "t"));
@@ -41,7 +41,7 @@
     @Test
     void testDrainingEndpointStillSupersedesOlderOneAtSameAddress() {
         Map<String, List<EndpointRecord>> eligible = EndpointEligibility.serving(
-                List.of(endpoint("old", "s", 1, 100, false), endpoint("new", "s", 1, 200, true)));
+                List.of(endpoint("old", "s", 1, 100, false), endpoint("new", "s", 1, 200, true)), endpoint -> false);
 
         assertEquals(List.of(), names(eligible, "s"));
     }
@@ -49,8 +49,17 @@
     @Test
     void testEndpointsAtDifferentAddressesAreAllEligible() {
         Map<String, List<EndpointRecord>> eligible = EndpointEligibility.serving(
-                List.of(endpoint("one", "s", 1, 100, false), endpoint("two", "s", 2, 200, false)));
+                List.of(endpoint("one", "s", 1, 100, false), endpoint("two", "s", 2, 200, false)), endpoint -> false);
 
         assertEquals(List.of("one", "two"), names(eligible, "s"));
     }
+
+    @Test
+    void testLeavingEndpointIsNotEligibleAndStillSupersedesOlderOneAtSameAddress() {
+        Map<String, List<EndpointRecord>> eligible = EndpointEligibility.serving(
+                List.of(endpoint("old", "s", 1, 100, false), endpoint("new", "s", 1, 200, false)),
+                endpoint -> endpoint.id().value().equals("new"));
+
+        assertEquals(List.of(), names(eligible, "s"));
+    }
 }
--- a/ctl/src/main/java/org/jasminehub/ctl/ExplainCommand.java
+++ b/ctl/src/main/java/org/jasminehub/ctl/ExplainCommand.java
@@ -22,6 +22,7 @@
             "READINESS_CHANGED",
             "CONFIGURATION_APPLIED",
             "SUSPENSION_NOTICED",
+            "ENDPOINT_LEAVING",
             "PROCESS_STARTED",
             "PROCESS_STOPPING");
 
--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -36,6 +36,7 @@
 import org.jasminehub.gateway.control.ControlEventKind;
 import org.jasminehub.gateway.control.DelayedRunner;
 import org.jasminehub.gateway.control.EndpointController;
+import org.jasminehub.gateway.control.EndpointMonitors;
 import org.jasminehub.gateway.control.InstanceDirectory;
 import org.jasminehub.gateway.control.InstanceRegistration;
 import org.jasminehub.gateway.control.PeerExchange;
@@ -85,6 +86,7 @@
     private final EndpointClient client;
     private final ConfigurationController configuration;
     private final EndpointController endpoints;
+    private final EndpointMonitors monitors;
     private final InstanceRegistration registration;
     private final InstanceDirectory instances;
     private final PeerExchange peers;
@@ -104,8 +106,7 @@
         this.settings = settings;
         this.clock = clock;
         this.events = events;
-        this.loop = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("gateway"), NioIoHandler.newFactory())
-                .next();
+        this.loop = newLoop();
         this.timer = (delayMillis, action) -> loop.schedule(action, delayMillis, TimeUnit.MILLISECONDS);
         this.client = new EndpointClient(loop, clock);
         this.eras = new EraTracker(clock);
@@ -133,6 +134,7 @@
                 clock,
                 events);
         this.storeReliability = new StoreReliability(eras, instances, registration, peers::isInformed, clock);
+        this.monitors = new EndpointMonitors(endpoints);
         this.experts = new ExpertCoordinator(
                 loop,
                 clock,
@@ -142,15 +144,16 @@
                 this::expertLayout,
                 client,
                 endpoints::all,
+                monitors::forEngine,
                 eras,
                 peers::isCoordinator);
-        this.retryBudget = new CallRetryBudget(clock, settings.repeatRatio(), settings.repeatReserve(), (long)
-                (settings.repeatWindowSeconds() * TimeUnit.SECONDS.toMillis(1)));
+        this.retryBudget = newRetryBudget(settings, clock);
         this.dispatcher = new CallDispatcher(
                 loop,
                 clock,
                 client,
                 endpoints,
+                monitors,
                 loads,
                 new EndpointChoicePolicy(loads, new FailureDomain(settings.failureDomain()), random),
                 retryBudget,
@@ -159,6 +162,16 @@
                 events);
     }
 
+    private static EventLoop newLoop() {
+        return new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("gateway"), NioIoHandler.newFactory())
+                .next();
+    }
+
+    private static CallRetryBudget newRetryBudget(GatewaySettings settings, Clock clock) {
+        long windowMillis = (long) (settings.repeatWindowSeconds() * TimeUnit.SECONDS.toMillis(1));
+        return new CallRetryBudget(clock, settings.repeatRatio(), settings.repeatReserve(), windowMillis);
+    }
+
     /** Returns an upper bound for the number of entry instances, 1 before they are known. */
     private int instanceCount() {
         return peers == null ? 1 : peers.maxInstances();
@@ -217,6 +230,8 @@
                                 configuration.inForce().map(RouteTable::version).orElse(0L),
                 "configuration.age.millis", (Gauge<Long>) configuration::ageMillis,
                 "endpoints.registered", (Gauge<Integer>) () -> endpoints.all().size(),
+                "endpoints.leaving", (Gauge<Integer>) endpoints::leavingCount,
+                "endpoints.requests.withheld", (Gauge<Long>) monitors::withheld,
                 "endpoints.connections.opened", (Gauge<Long>) client::connectionsOpened,
                 "instances.accepting",
                         (Gauge<Integer>) () -> peers.acceptingInstances().size(),
--- a/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
@@ -89,7 +89,7 @@
         // An unsafe call uses a new connection: if a pooled one had just been closed, it would be unknown whether the
         // call ran.
         ConnectionUse connectionUse = call.route().mayRetry() ? ConnectionUse.KEPT_OR_NEW : ConnectionUse.NEW;
-        exchange = call.dispatcher().client().send(address(), message, connectionUse, this);
+        exchange = call.dispatcher().send(endpoint, message, connectionUse, this);
         startTimeout();
     }
 
@@ -212,6 +212,13 @@
 
     @Override
     public void onFailure(ExchangeFailure failure) {
+        if (failure == ExchangeFailure.WITHHELD) {
+            if (close()) {
+                call.dispatcher().onAttemptWithheld(endpoint.id());
+                call.onAttemptWithheld();
+            }
+            return;
+        }
         AttemptEnd end = failure == ExchangeFailure.NOT_CONNECTED ? AttemptEnd.NOT_RUN : AttemptEnd.MAY_HAVE_RUN;
         fail(end, failure.name());
     }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
@@ -1,7 +1,7 @@
 package org.jasminehub.gateway.call;
 
 import io.netty.channel.EventLoop;
-import java.util.ArrayList;
+import io.netty.handler.codec.http.FullHttpRequest;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -17,6 +17,7 @@
 import org.jasminehub.core.balance.EndpointChoicePolicy;
 import org.jasminehub.core.balance.EndpointLoads;
 import org.jasminehub.core.balance.GroupBackoff;
+import org.jasminehub.core.error.ErrorCode;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.serving.EndpointRecord;
@@ -25,7 +26,12 @@
 import org.jasminehub.core.serving.ServiceProfile;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.gateway.control.EndpointController;
+import org.jasminehub.gateway.control.EndpointMonitors;
+import org.jasminehub.gateway.net.ConnectionUse;
+import org.jasminehub.gateway.net.EndpointAddress;
 import org.jasminehub.gateway.net.EndpointClient;
+import org.jasminehub.gateway.net.Exchange;
+import org.jasminehub.gateway.net.ResponseSink;
 
 /**
  * Dispatches calls to endpoints and queues those for which no endpoint has capacity.
@@ -38,10 +44,14 @@
      */
     private static final int MIN_STREAMS_FOR_STALL = 3;
 
+    /** Retry delay for a service without endpoints; registrations are read again within this time. */
+    private static final long NO_ENDPOINT_RETRY_MILLIS = 1_000;
+
     private final EventLoop loop;
     private final Clock clock;
     private final EndpointClient client;
     private final EndpointController endpoints;
+    private final EndpointMonitors monitors;
     private final EndpointLoads loads;
     private final EndpointChoicePolicy choicePolicy;
     private final CallRetryBudget retryBudget;
@@ -59,6 +69,7 @@
             Clock clock,
             EndpointClient client,
             EndpointController endpoints,
+            EndpointMonitors monitors,
             EndpointLoads loads,
             EndpointChoicePolicy choicePolicy,
             CallRetryBudget retryBudget,
@@ -69,6 +80,7 @@
         this.clock = clock;
         this.client = client;
         this.endpoints = endpoints;
+        this.monitors = monitors;
         this.loads = loads;
         this.choicePolicy = choicePolicy;
         this.retryBudget = retryBudget;
@@ -83,9 +95,14 @@
         return running.size();
     }
 
-    /** Sends queued calls while endpoints have capacity for them. */
+    /** Sends queued calls while endpoints have capacity for them, and refuses those whose endpoints are all leaving. */
     public void dispatchQueued() {
-        for (ServiceQueue queue : new ArrayList<>(queues.values())) {
+        for (Map.Entry<String, ServiceQueue> service : List.copyOf(queues.entrySet())) {
+            ServiceQueue queue = service.getValue();
+            if (queue.length() > 0 && hasOnlyLeavingEndpoints(service.getKey())) {
+                queue.inDispatchOrder()
+                        .forEach(call -> unavailability(service.getKey()).ifPresent(call::refuse));
+            }
             for (RunningCall call : queue.inDispatchOrder()) {
                 Optional<EndpointRecord> endpoint = choose(call);
                 if (endpoint.isEmpty()) {
@@ -133,8 +150,30 @@
         return queues.computeIfAbsent(service, each -> new ServiceQueue(clock));
     }
 
-    boolean hasEndpoints(String service) {
-        return !endpoints.serving(service).isEmpty();
+    /** Returns the refusal of calls to {@code service} if none of its endpoints accepts calls, else empty. */
+    Optional<Refusal> unavailability(String service) {
+        if (!endpoints.serving(service).isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                hasOnlyLeavingEndpoints(service)
+                        ? Refusal.retryable(
+                                ErrorCode.NO_ENDPOINT,
+                                retryAfterMillis(service),
+                                "all endpoints of " + service + " are leaving")
+                        : Refusal.retryable(
+                                ErrorCode.NO_ENDPOINT, NO_ENDPOINT_RETRY_MILLIS, "no endpoint of " + service));
+    }
+
+    private boolean hasOnlyLeavingEndpoints(String service) {
+        return endpoints.serving(service).isEmpty()
+                && endpoints.all().stream()
+                        .anyMatch(endpoint -> endpoint.service().equals(service));
+    }
+
+    Exchange send(EndpointRecord endpoint, FullHttpRequest request, ConnectionUse use, ResponseSink sink) {
+        EndpointAddress address = new EndpointAddress(endpoint.host(), endpoint.port());
+        return client.send(address, request, use, sink, monitors.forCall(endpoint));
     }
 
     /** Returns whether the call is likely to get capacity within {@code maxWaitMillis}. */
@@ -176,6 +215,11 @@
         loop.execute(this::dispatchQueued);
     }
 
+    /** Records that an attempt ended without having been written to a connection. */
+    void onAttemptWithheld(EndpointId endpoint) {
+        loads.onEnded(endpoint);
+    }
+
     void onAttemptCancelled(String service, EndpointId endpoint) {
         queue(service).onCapacityFreed();
         loads.onEnded(endpoint);
@@ -210,8 +254,9 @@
         return loop.schedule(action, Math.max(0, millis), TimeUnit.MILLISECONDS);
     }
 
+    /** Returns whether a call may be sent once more, which uses up part of the retry budget. */
     boolean tryRetry(String service) {
-        return retryBudget.tryRetry(service);
+        return unavailability(service).isEmpty() && retryBudget.tryRetry(service);
     }
 
     long nextSequence() {
--- a/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
@@ -26,9 +26,6 @@
      */
     private static final long MAX_REQUEUE_WAIT_MILLIS = 1_500;
 
-    /** Retry delay for a service without endpoints; registrations are read again within this time. */
-    private static final long NO_ENDPOINT_RETRY_MILLIS = 1_000;
-
     /** Delay before a retry after an engine refused a call; about one or two passes of a group. */
     private static final long REFUSAL_RETRY_DELAY_MILLIS = 150;
 
@@ -150,9 +147,9 @@
     }
 
     private void dispatch() {
-        if (!dispatcher.hasEndpoints(service())) {
-            endWithRefusal(
-                    Refusal.retryable(ErrorCode.NO_ENDPOINT, NO_ENDPOINT_RETRY_MILLIS, "no endpoint of " + service()));
+        Optional<Refusal> unavailability = dispatcher.unavailability(service());
+        if (unavailability.isPresent()) {
+            endWithRefusal(unavailability.get());
             return;
         }
         Optional<EndpointRecord> endpoint = dispatcher.choose(this);
@@ -215,7 +212,8 @@
 
     /** Returns whether the call could be retried if the current attempt were ended now. */
     boolean mayRetryAfterRun() {
-        return CallRetryPolicy.mayRetry(route(), AttemptEnd.MAY_HAVE_RUN, runs + 1, sends, remainingMillis());
+        return CallRetryPolicy.mayRetry(route(), AttemptEnd.MAY_HAVE_RUN, runs + 1, sends, remainingMillis())
+                && dispatcher.unavailability(service()).isEmpty();
     }
 
     /**
@@ -252,16 +250,27 @@
         }
     }
 
+    /** Called when the current attempt was not written because its endpoint had become unavailable. */
+    void onAttemptWithheld() {
+        attempt = null;
+        sends--;
+        lastEndpoint = sends == 0 ? "" : lastEndpoint;
+        dispatch();
+    }
+
     /** Responds with an error that this instance creates, because the call failed and is not retried. */
     void respondWithFailure(AttemptEnd end, String reason) {
         if (end.isNotRun() && runs == 0) {
-            endWithRefusal(Refusal.retryable(ErrorCode.OVERLOADED, dispatcher.retryAfterMillis(service()), reason));
+            endWithRefusal(dispatcher
+                    .unavailability(service())
+                    .orElseGet(() ->
+                            Refusal.retryable(ErrorCode.OVERLOADED, dispatcher.retryAfterMillis(service()), reason)));
         } else {
             endWithRefusal(Refusal.of(ErrorCode.ENDPOINT_FAILED, reason));
         }
     }
 
-    /** Refuses the call before it was dispatched. */
+    /** Refuses the call while no attempt is open. */
     void refuse(Refusal refusal) {
         endWithRefusal(refusal);
     }
--- a/gateway/src/main/java/org/jasminehub/gateway/control/ControlEventKind.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/ControlEventKind.java
@@ -27,6 +27,8 @@
     STORE_RESPONSE_DISCARDED(3509, Severity.WARNING, "A response of the store is older than its latest restore."),
     /** A record of a restored store was ignored because a newer one is known. */
     RECORD_OUTDATED(3510, Severity.INFO, "A restored store shows an older record than the one known here."),
+    /** An endpoint announced in a response that it is leaving. */
+    ENDPOINT_LEAVING(3511, Severity.INFO, "An endpoint's answer says that it is leaving; it gets no new call."),
     /** The process has started. */
     PROCESS_STARTED(1500, Severity.INFO, "The process has started."),
     /** The process was asked to stop. */
--- a/gateway/src/main/java/org/jasminehub/gateway/control/EndpointController.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/EndpointController.java
@@ -8,11 +8,13 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.jasminehub.core.balance.EndpointEligibility;
+import org.jasminehub.core.balance.LeavingEndpoints;
 import org.jasminehub.core.era.DepartedEndpoint;
 import org.jasminehub.core.era.EndpointHistory;
 import org.jasminehub.core.era.EraTracker;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
+import org.jasminehub.core.serving.EndpointIncarnation;
 import org.jasminehub.core.serving.EndpointRecord;
 import org.jasminehub.core.serving.EndpointRegistration;
 import org.jasminehub.core.time.Clock;
@@ -26,9 +28,9 @@
 /**
  * Holds the registered endpoints.
  *
- * <p>An endpoint that is draining or removed receives no new calls from the moment at which the change is read. During
- * an outage of the store registrations expire although their endpoints are healthy; such endpoints are kept until they
- * have had time to register again.
+ * <p>An endpoint that is draining or removed, or that announced in a response that it is leaving, receives no new calls
+ * from the moment at which that is read. During an outage of the store registrations expire although their endpoints are
+ * healthy; such endpoints are kept until they have had time to register again.
  *
  * <p>Must be used on the process's event loop only.
  */
@@ -42,6 +44,7 @@
     private final LogFollower follower;
     private final EraTracker eras;
     private final EndpointHistory history;
+    private final LeavingEndpoints leaving;
     private final Map<EndpointId, EndpointRecord> endpoints = new HashMap<>();
     private final Map<EndpointId, Long> expiredAtMillis = new HashMap<>();
     private Map<String, List<EndpointRecord>> servingByService = Map.of();
@@ -59,6 +62,7 @@
         this.events = events;
         this.eras = eras;
         this.history = new EndpointHistory(eras, clock);
+        this.leaving = new LeavingEndpoints(clock);
         this.clock = clock;
         this.timer = timer;
         this.follower = new LogFollower(
@@ -118,6 +122,41 @@
         return List.copyOf(endpoints.values());
     }
 
+    /** Returns whether new calls may be sent to {@code endpoint}, judged by the newest information about it. */
+    public boolean accepts(EndpointRecord endpoint) {
+        EndpointRecord known = endpoints.get(endpoint.id());
+        return known != null
+                && known.isSameIncarnation(endpoint)
+                && !known.isDraining()
+                && !leaving.isLeaving(endpoint);
+    }
+
+    /** Returns the number of endpoints that announced in a response that they are leaving. */
+    public int leavingCount() {
+        return leaving.size();
+    }
+
+    /**
+     * Stops new calls to an endpoint that announced in a response that it is leaving.
+     *
+     * @param cause the response that contained the announcement
+     */
+    public void onLeavingAnnounced(EndpointIncarnation endpoint, String cause) {
+        if (!leaving.onAnnounced(endpoint)) {
+            return;
+        }
+        events.emit(new ControlEvent(
+                ControlEventKind.ENDPOINT_LEAVING,
+                endpoint.id().value(),
+                "announced in " + cause + "; started at " + endpoint.startedWallMillis(),
+                0));
+        EndpointRecord known = endpoints.get(endpoint.id());
+        if (known != null && known.incarnation().equals(endpoint)) {
+            onUnavailable.accept(known);
+            publish();
+        }
+    }
+
     /** Returns the endpoints that left before the store was restored, while the restored store may show them. */
     public List<DepartedEndpoint> departedBeforeRestore() {
         return eras.isRewriting() ? history.departedBeforeRestore() : List.of();
@@ -242,7 +281,8 @@
     }
 
     private void publish() {
-        servingByService = EndpointEligibility.serving(endpoints.values());
+        leaving.onRegistrations(endpoints.values());
+        servingByService = EndpointEligibility.serving(endpoints.values(), leaving::isLeaving);
         onChanged.run();
     }
 }
--- /dev/null
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/EndpointMonitors.java
@@ -0,0 +1,92 @@
+package org.jasminehub.gateway.control;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.Optional;
+import org.jasminehub.core.identity.EndpointId;
+import org.jasminehub.core.serving.EndpointIncarnation;
+import org.jasminehub.core.serving.EndpointRecord;
+import org.jasminehub.gateway.net.ExchangeMonitor;
+import org.jasminehub.platform.hosted.ResponseHeaders;
+import org.jasminehub.platform.hosted.ResponseHeadersAdapter;
+
+/**
+ * Creates the monitors of exchanges with endpoints, which apply what endpoints announce about themselves in responses.
+ *
+ * <p>Must be used on the process's event loop only.
+ */
+public final class EndpointMonitors {
+    private final EndpointController endpoints;
+    private long withheld;
+
+    /** Creates monitors that report to {@code endpoints}. */
+    public EndpointMonitors(EndpointController endpoints) {
+        this.endpoints = endpoints;
+    }
+
+    /** Returns how many requests were not written because their endpoint had become unavailable after the choice. */
+    public long withheld() {
+        return withheld;
+    }
+
+    /** Returns the monitor of a caller's request to {@code endpoint}. */
+    public ExchangeMonitor forCall(EndpointRecord endpoint) {
+        return new ExchangeMonitor() {
+            @Override
+            public boolean maySend() {
+                return endpoints.accepts(endpoint) || withhold();
+            }
+
+            @Override
+            public void onHead(HttpResponseStatus status, HttpHeaders headers) {
+                observe(endpoint.incarnation(), status, headers);
+            }
+        };
+    }
+
+    /**
+     * Returns the monitor of a request to the engine at {@code endpoint} that this instance itself makes. An engine that
+     * is leaving still takes part in its group, so such requests go on.
+     */
+    public ExchangeMonitor forEngine(EndpointRecord endpoint) {
+        return new ExchangeMonitor() {
+            @Override
+            public boolean maySend() {
+                return true;
+            }
+
+            @Override
+            public void onHead(HttpResponseStatus status, HttpHeaders headers) {
+                observe(endpoint.incarnation(), status, headers);
+            }
+        };
+    }
+
+    private boolean withhold() {
+        withheld++;
+        return false;
+    }
+
+    private void observe(EndpointIncarnation expected, HttpResponseStatus status, HttpHeaders headers) {
+        ResponseHeaders parsed = ResponseHeadersAdapter.decode(status, headers);
+        if (parsed.isLeaving()) {
+            respondent(expected, status, parsed)
+                    .ifPresent(endpoint ->
+                            endpoints.onLeavingAnnounced(endpoint, "a response with status " + status.code()));
+        }
+    }
+
+    /** Returns the endpoint that responded; another one may have been assigned the address of the expected one. */
+    private Optional<EndpointIncarnation> respondent(
+            EndpointIncarnation expected, HttpResponseStatus status, ResponseHeaders parsed) {
+        String stated = parsed.endpoint();
+        if (stated == null || stated.isBlank()) {
+            return status.code() == HttpResponseStatus.MISDIRECTED_REQUEST.code()
+                    ? Optional.empty()
+                    : Optional.of(expected);
+        }
+        return stated.equals(expected.id().value())
+                ? Optional.of(expected)
+                : endpoints.find(new EndpointId(stated)).map(EndpointRecord::incarnation);
+    }
+}
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/DirectEngineAccess.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/DirectEngineAccess.java
@@ -5,13 +5,16 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.jasminehub.core.event.EventSink;
+import org.jasminehub.core.serving.EndpointIncarnation;
 import org.jasminehub.core.serving.EndpointRecord;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.gateway.net.BufferedHttpClient;
 import org.jasminehub.gateway.net.EndpointAddress;
 import org.jasminehub.gateway.net.EndpointClient;
+import org.jasminehub.gateway.net.ExchangeMonitor;
 import org.jasminehub.wire.generated.PeerEnvelope;
 import org.jasminehub.wire.generated.RankWatch;
 import org.jspecify.annotations.Nullable;
@@ -28,21 +31,27 @@
     private final EventSink events;
     private final EndpointClient client;
     private final Supplier<List<EndpointRecord>> endpoints;
-    private final Map<EndpointAddress, DirectEngine> engines = new HashMap<>();
+    private final Function<EndpointRecord, ExchangeMonitor> monitors;
+    private final Map<EngineKey, DirectEngine> engines = new HashMap<>();
 
     DirectEngineAccess(
             EventLoop loop,
             Clock clock,
             EventSink events,
             EndpointClient client,
-            Supplier<List<EndpointRecord>> endpoints) {
+            Supplier<List<EndpointRecord>> endpoints,
+            Function<EndpointRecord, ExchangeMonitor> monitors) {
         this.loop = loop;
         this.clock = clock;
         this.events = events;
         this.client = client;
         this.endpoints = endpoints;
+        this.monitors = monitors;
     }
 
+    /** A run of an engine at an address. */
+    private record EngineKey(EndpointIncarnation incarnation, EndpointAddress address) {}
+
     /** An agent for a remote engine that runs in this process, and the messenger that sends messages to it. */
     private record DirectEngine(RankAgent agent, RankMessenger messenger) {}
 
@@ -74,13 +83,17 @@
                         && endpoint.seat().group().equals(group.name())
                         && endpoint.seat().rank() == rank)
                 .max(Comparator.comparingLong(EndpointRecord::startedWallMillis))
-                .map(endpoint -> engines.computeIfAbsent(
-                        new EndpointAddress(endpoint.host(), endpoint.port()), address -> open(address, group)))
+                .map(endpoint -> {
+                    EndpointAddress address = new EndpointAddress(endpoint.host(), endpoint.port());
+                    return engines.computeIfAbsent(
+                            new EngineKey(endpoint.incarnation(), address), key -> open(address, endpoint, group));
+                })
                 .orElse(null);
     }
 
-    private DirectEngine open(EndpointAddress address, GroupPlacement group) {
-        RankAgent agent = new RankAgent(loop, clock, new BufferedHttpClient(client, address, "engine"), events);
+    private DirectEngine open(EndpointAddress address, EndpointRecord endpoint, GroupPlacement group) {
+        BufferedHttpClient engine = new BufferedHttpClient(client, address, "engine", monitors.apply(endpoint));
+        RankAgent agent = new RankAgent(loop, clock, engine, events);
         RankMessenger messenger = new RankMessenger() {
             @Override
             public void send(PeerEnvelope message) {
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/ExpertCoordinator.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/ExpertCoordinator.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.jasminehub.core.era.EraTracker;
@@ -23,6 +24,7 @@
 import org.jasminehub.gateway.control.DelayedRunner;
 import org.jasminehub.gateway.net.EndpointAddress;
 import org.jasminehub.gateway.net.EndpointClient;
+import org.jasminehub.gateway.net.ExchangeMonitor;
 import org.jasminehub.gateway.peer.PeerConnection;
 import org.jasminehub.gateway.peer.PeerLink;
 import org.jasminehub.gateway.peer.PeerListener;
@@ -64,7 +66,11 @@
     private Set<String> coordinated = Set.of();
     private long lastWatchMillis;
 
-    /** Creates a coordinator that is inactive until {@link #start} is called. */
+    /**
+     * Creates a coordinator that is inactive until {@link #start} is called.
+     *
+     * @param monitors returns the monitor of the requests to an engine
+     */
     public ExpertCoordinator(
             EventLoop loop,
             Clock clock,
@@ -74,6 +80,7 @@
             Supplier<ExpertLayout> layout,
             EndpointClient client,
             Supplier<List<EndpointRecord>> endpoints,
+            Function<EndpointRecord, ExchangeMonitor> monitors,
             EraTracker eras,
             Predicate<String> isCoordinator) {
         this.loop = loop;
@@ -84,7 +91,7 @@
         this.layout = layout;
         this.endpoints = endpoints;
         this.eras = eras;
-        this.directEngines = new DirectEngineAccess(loop, clock, events, client, endpoints);
+        this.directEngines = new DirectEngineAccess(loop, clock, events, client, endpoints, monitors);
         this.isCoordinator = isCoordinator;
     }
 
--- a/gateway/src/main/java/org/jasminehub/gateway/net/BufferedHttpClient.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/BufferedHttpClient.java
@@ -24,12 +24,20 @@
     private final EndpointClient client;
     private final EndpointAddress address;
     private final String serviceName;
+    private final ExchangeMonitor monitor;
 
     /** Creates a client of the service at {@code address}, which failures name {@code serviceName}. */
     public BufferedHttpClient(EndpointClient client, EndpointAddress address, String serviceName) {
+        this(client, address, serviceName, ExchangeMonitor.NONE);
+    }
+
+    /** Creates a client whose exchanges are followed by {@code monitor}. */
+    public BufferedHttpClient(
+            EndpointClient client, EndpointAddress address, String serviceName, ExchangeMonitor monitor) {
         this.client = client;
         this.address = address;
         this.serviceName = serviceName;
+        this.monitor = monitor;
     }
 
     /** A complete response. */
@@ -51,7 +59,8 @@
             HttpUtil.setContentLength(request, body.length);
         }
         CompletableFuture<Response> result = new CompletableFuture<>();
-        Exchange exchange = client.send(address, request, ConnectionUse.KEPT_OR_NEW, new ResponseCollector(result));
+        Exchange exchange =
+                client.send(address, request, ConnectionUse.KEPT_OR_NEW, new ResponseCollector(result), monitor);
         result.whenComplete((response, failure) -> {
             if (failure != null) {
                 exchange.cancel();
--- a/gateway/src/main/java/org/jasminehub/gateway/net/EndpointClient.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/EndpointClient.java
@@ -23,7 +23,7 @@
  * Sends HTTP requests to endpoints over pooled keep-alive connections.
  *
  * <pre>{@code
- * Exchange exchange = client.send(address, request, ConnectionUse.KEPT_OR_NEW, sink);
+ * Exchange exchange = client.send(address, request, ConnectionUse.KEPT_OR_NEW, sink, ExchangeMonitor.NONE);
  * }</pre>
  *
  * <p>Used on its event loop only.
@@ -107,9 +107,18 @@
         }
     }
 
-    /** Sends {@code request}; the response is passed to {@code sink}, never before this method has returned. */
-    public Exchange send(EndpointAddress address, FullHttpRequest request, ConnectionUse use, ResponseSink sink) {
-        PendingExchange exchange = new PendingExchange(sink);
+    /**
+     * Sends {@code request}; the response is passed to {@code sink}, never before this method has returned.
+     *
+     * @param monitor checks once more before the request is written, and receives the heads of all responses
+     */
+    public Exchange send(
+            EndpointAddress address,
+            FullHttpRequest request,
+            ConnectionUse use,
+            ResponseSink sink,
+            ExchangeMonitor monitor) {
+        PendingExchange exchange = new PendingExchange(sink, monitor);
         EndpointConnection pooled = use == ConnectionUse.NEW ? null : pollIdle(address);
         if (pooled != null) {
             loop.execute(() -> exchange.start(pooled, request));
--- a/gateway/src/main/java/org/jasminehub/gateway/net/EndpointConnection.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/EndpointConnection.java
@@ -28,6 +28,7 @@
     private final Consumer<EndpointConnection> onReusable;
     private @Nullable Channel channel;
     private @Nullable ResponseSink sink;
+    private ExchangeMonitor monitor = ExchangeMonitor.NONE;
     private boolean isRequestWritten;
     private boolean isHeadSeen;
     private boolean isReusable;
@@ -61,10 +62,15 @@
         return nowMillis - idleSinceMillis >= idleLimitMillis;
     }
 
-    /** Sends {@code request}; the response is passed to {@code responseSink}. */
-    void send(FullHttpRequest request, ResponseSink responseSink) {
+    /**
+     * Sends {@code request}; the response is passed to {@code responseSink}.
+     *
+     * @param exchangeMonitor receives the heads of all responses until the next request
+     */
+    void send(FullHttpRequest request, ResponseSink responseSink, ExchangeMonitor exchangeMonitor) {
         Channel open = channel;
         sink = responseSink;
+        monitor = exchangeMonitor;
         isRequestWritten = false;
         isHeadSeen = false;
         isReusable = false;
@@ -103,6 +109,10 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
+            if (message instanceof HttpResponse response
+                    && response.decoderResult().isSuccess()) {
+                monitor.onHead(response.status(), response.headers());
+            }
             if (sink == null || isAwaitingRelease || !(message instanceof HttpObject object)) {
                 isBroken = true;
                 context.close();
--- a/gateway/src/main/java/org/jasminehub/gateway/net/PendingExchange.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/PendingExchange.java
@@ -8,12 +8,14 @@
 /** An exchange that may still be waiting for its connection; the sink is not called after a cancellation. */
 final class PendingExchange implements Exchange, ResponseSink {
     private final ResponseSink sink;
+    private final ExchangeMonitor monitor;
     private @Nullable EndpointConnection connection;
     private Runnable cancelConnecting = () -> {};
     private boolean isDone;
 
-    PendingExchange(ResponseSink sink) {
+    PendingExchange(ResponseSink sink, ExchangeMonitor monitor) {
         this.sink = sink;
+        this.monitor = monitor;
     }
 
     void onCancel(Runnable action) {
@@ -26,8 +28,14 @@
             open.cancel();
             return;
         }
+        if (!monitor.maySend()) {
+            request.release();
+            open.cancel();
+            onFailure(ExchangeFailure.WITHHELD);
+            return;
+        }
         connection = open;
-        open.send(request, this);
+        open.send(request, this, monitor);
     }
 
     @Override
--- a/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
@@ -76,6 +76,7 @@
     private final InMemoryStore store;
     private final ShiftableClock clock = new ShiftableClock();
     private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+    private final MetricRegistry metrics = new MetricRegistry();
     private final EntryProgram entry;
 
     GatewayHarness() {
@@ -108,7 +109,7 @@
                 0.2,
                 60,
                 10);
-        entry = new EntryProgram(settings, clock, events::add, new MetricRegistry());
+        entry = new EntryProgram(settings, clock, events::add, metrics);
         entry.start();
     }
 
@@ -116,6 +117,11 @@
         return store;
     }
 
+    /** Returns the value of a gauge of the entry instance that counts in whole numbers. */
+    long gauge(String name) {
+        return ((Number) metrics.getGauges().get(name).getValue()).longValue();
+    }
+
     ShiftableClock clock() {
         return clock;
     }
--- a/gateway/src/test/java/org/jasminehub/gateway/experts/ExpertPlacementTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/experts/ExpertPlacementTest.java
@@ -1,13 +1,18 @@
 package org.jasminehub.gateway.experts;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.LockSupport;
@@ -24,7 +29,9 @@
 import org.jasminehub.gateway.net.BufferedHttpClient;
 import org.jasminehub.gateway.net.EndpointAddress;
 import org.jasminehub.gateway.net.EndpointClient;
+import org.jasminehub.gateway.net.ExchangeMonitor;
 import org.jasminehub.gateway.peer.PeerServer;
+import org.jasminehub.platform.hosted.ResponseHeadersAdapter;
 import org.jasminehub.runtime.time.SystemClock;
 import org.jasminehub.wire.generated.InstanceRecord;
 import org.junit.jupiter.api.AfterEach;
@@ -45,6 +52,7 @@
     private final List<PeerServer> agentServers = new ArrayList<>();
     private final List<InstanceRecord> agents = new ArrayList<>();
     private final AtomicBoolean isFirstResponsible = new AtomicBoolean(true);
+    private final Set<String> leaving = ConcurrentHashMap.newKeySet();
     private EventLoop loop;
     private EventLoop engineLoop;
     private GroupStandin group;
@@ -92,6 +100,7 @@
                 () -> LAYOUT,
                 new EndpointClient(loop, clock),
                 this::endpoints,
+                this::monitor,
                 new EraTracker(clock),
                 group -> isResponsible.getAsBoolean());
         loop.execute(coordinator::start);
@@ -114,6 +123,23 @@
         return result;
     }
 
+    /** Returns a monitor that collects the endpoints whose responses announce that they are leaving. */
+    private ExchangeMonitor monitor(EndpointRecord endpoint) {
+        return new ExchangeMonitor() {
+            @Override
+            public boolean maySend() {
+                return true;
+            }
+
+            @Override
+            public void onHead(HttpResponseStatus status, HttpHeaders headers) {
+                if (ResponseHeadersAdapter.decode(status, headers).isLeaving()) {
+                    leaving.add(endpoint.id().value());
+                }
+            }
+        };
+    }
+
     private static void await(BooleanSupplier condition) {
         while (!condition.getAsBoolean()) {
             if (Thread.currentThread().isInterrupted()) {
@@ -165,4 +191,18 @@
 
         assertFalse(group.hasMixedMaps());
     }
+
+    @Test
+    void testAnEngineThatIsReachedDirectlyIsHeardWhenItAnnouncesItsLeaving() {
+        group.announceLeaving(1);
+        group.holdNextStep();
+        agentServers.get(1).close();
+        agents.remove(1);
+        startCoordinator(() -> true);
+
+        await(() -> !leaving.isEmpty() && !group.isHeld() && group.versionInUse() > 0);
+
+        assertEquals(Set.of("e-1"), leaving);
+        assertFalse(group.hasMixedMaps());
+    }
 }
--- a/gateway/src/test/java/org/jasminehub/gateway/experts/GroupStandin.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/experts/GroupStandin.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -47,6 +48,7 @@
     private final int hotExpert;
     private long step = 1;
     private int unansweredOrders;
+    private int leavingRank = -1;
     private boolean hasMixedMaps;
 
     /** Starts a group whose requests choose {@code hotExpert} most of the time. */
@@ -80,6 +82,11 @@
         unansweredOrders = orders;
     }
 
+    /** Adds the announcement of a shutdown to all responses of {@code rank}. */
+    synchronized void announceLeaving(int rank) {
+        leavingRank = rank;
+    }
+
     /** Holds the step after the next, which simulates a coordinator that stopped before it released the step. */
     synchronized void holdNextStep() {
         ranks.get(0).held = step + 2;
@@ -119,13 +126,18 @@
 
     private synchronized CallerExchange handle(int number, CallerRequest request, CallerResponse response) {
         Rank rank = ranks.get(number);
+        HttpHeaders headers = new DefaultHttpHeaders(false);
+        if (number == leavingRank) {
+            headers.set("Server-Leaving", "1");
+        }
         if (request.path().equals("/report")) {
-            respond(response, HttpResponseStatus.OK, report(number));
+            respond(response, headers, HttpResponseStatus.OK, report(number));
         } else if (request.uri().equals("/picked")) {
-            respond(response, HttpResponseStatus.OK, "{\"counts\":" + Arrays.toString(rank.counts) + "}");
+            respond(response, headers, HttpResponseStatus.OK, "{\"counts\":" + Arrays.toString(rank.counts) + "}");
         } else if (request.path().equals("/picked")) {
             respond(
                     response,
+                    headers,
                     HttpResponseStatus.OK,
                     "{\"map\":{\"version\":" + rank.map + ",\"experts\":[" + rank.experts + "]}}");
         } else {
@@ -133,7 +145,7 @@
             if (unansweredOrders > 0) {
                 unansweredOrders--;
             } else {
-                respond(response, isAccepted ? HttpResponseStatus.OK : HttpResponseStatus.CONFLICT, "");
+                respond(response, headers, isAccepted ? HttpResponseStatus.OK : HttpResponseStatus.CONFLICT, "");
             }
         }
         return CallerExchange.COMPLETED;
@@ -195,8 +207,8 @@
         }
     }
 
-    private void respond(CallerResponse response, HttpResponseStatus status, String body) {
+    private void respond(CallerResponse response, HttpHeaders headers, HttpResponseStatus status, String body) {
         byte[] bytes = (body.isEmpty() ? "{}" : body).getBytes(StandardCharsets.UTF_8);
-        loop.execute(() -> response.complete(status, new DefaultHttpHeaders(false), bytes));
+        loop.execute(() -> response.complete(status, headers, bytes));
     }
 }
