Endpoints that refuse with Retry-After are sent nothing for that time

Servers that answered 503 with Retry-After went on getting requests: the header was written for callers, but never read from endpoints, so a refused call was sent to the same server again after 0 or 150 ms and every new call was sent as well.

QuietPeriods keeps, for each run of an endpoint, the later end on the monotonic clock. The choice of an endpoint, the last check before a request is written, and the coordinator's own requests to engines (reports, counts, orders) go by it; an order to hold goes through the rank's agent instead. Queued calls are looked at every 50 ms until then. If all endpoints of a service are quiet, new and queued calls get 503 endpoints-quiet at once, with Retry-After at the earliest end plus up to 1 s. The limit of a group is computed with its quiet endpoints, whose calls go on.

Ruled out: folding the period into failure weights or GroupBackoff (both are hints that a busy service overrides, and one is of a whole group); a limit of calls for each second after the period (it would refuse short calls while slots are free).

The new test of ExpertPlacementTest uses a monitor that did not ask before direct reads, and was not run there.

--- a/core/src/main/java/org/jasminehub/core/error/ErrorCode.java
+++ b/core/src/main/java/org/jasminehub/core/error/ErrorCode.java
@@ -48,6 +48,8 @@
     OVERLOADED("overloaded", 503),
     /** No endpoint currently serves the route. */
     NO_ENDPOINT("no-endpoint", 503),
+    /** All endpoints that serve the route refused requests and asked to be sent none for some time. */
+    ENDPOINTS_QUIET("endpoints-quiet", 503),
     /** No more attempts are allowed for the request. */
     RETRIES_EXHAUSTED("retries-exhausted", 503),
     /** The endpoint failed before its response was complete. */
--- a/ctl/src/main/java/org/jasminehub/ctl/ExplainCommand.java
+++ b/ctl/src/main/java/org/jasminehub/ctl/ExplainCommand.java
@@ -23,6 +23,7 @@
             "CONFIGURATION_APPLIED",
             "SUSPENSION_NOTICED",
             "ENDPOINT_LEAVING",
+            "ENDPOINT_QUIET",
             "PROCESS_STARTED",
             "PROCESS_STOPPING");
 
--- a/ctl/src/test/java/org/jasminehub/ctl/ExplainCommandTest.java
+++ b/ctl/src/test/java/org/jasminehub/ctl/ExplainCommandTest.java
@@ -24,6 +24,8 @@
             {"time":9500,"event":3503,"name":"STORE_LOST","instance":"entry-9","subject":"CONFIGURATION","detail":"down"}
             {"time":10200,"event":5503,"name":"ATTEMPT_FAILED","instance":"entry-1","requestId":"a","endpoint":"e-1","reason":"CUT"}
             {"time":10300,"event":5501,"name":"CALL_REFUSED","instance":"entry-1","requestId":"a","code":"endpoint-failed","totalMillis":120}
+            {"time":11000,"event":3512,"name":"ENDPOINT_QUIET","instance":"entry-1","subject":"e-1","detail":"nothing is sent for 2000 ms"}
+            {"time":11100,"event":5501,"name":"CALL_REFUSED","instance":"entry-1","requestId":"q","code":"endpoints-quiet","totalMillis":1}
             some other program's line
             """;
     private static final String ENTRY_2_LOG = """
@@ -79,6 +81,14 @@
             assertEquals(3, text.lines().count(), text);
         }
 
+        @Test
+        void testARefusalForQuietEndpointsIsShownWithThePeriodThatCausedIt() {
+            String text = run(ExitCode.OK, "explain", "--request", "q", file("one.log"));
+
+            assertTrue(text.indexOf("ENDPOINT_QUIET") < text.indexOf("code=endpoints-quiet"), text);
+            assertTrue(text.contains("subject=e-1 detail=nothing is sent for 2000 ms"), text);
+        }
+
         @Test
         void testAnUnknownRequestIsAnError() {
             assertTrue(run(ExitCode.BAD_INPUT, "explain", "--request", "zz", file("one.log"))
--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -15,6 +15,7 @@
 import org.jasminehub.core.balance.CallRetryBudget;
 import org.jasminehub.core.balance.EndpointChoicePolicy;
 import org.jasminehub.core.balance.EndpointLoads;
+import org.jasminehub.core.balance.QuietPeriods;
 import org.jasminehub.core.era.EraTracker;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
@@ -134,7 +135,7 @@
                 clock,
                 events);
         this.storeReliability = new StoreReliability(eras, instances, registration, peers::isInformed, clock);
-        this.monitors = new EndpointMonitors(endpoints);
+        this.monitors = new EndpointMonitors(endpoints, new QuietPeriods(clock), events);
         this.experts = new ExpertCoordinator(
                 loop,
                 clock,
@@ -231,6 +232,7 @@
                 "configuration.age.millis", (Gauge<Long>) configuration::ageMillis,
                 "endpoints.registered", (Gauge<Integer>) () -> endpoints.all().size(),
                 "endpoints.leaving", (Gauge<Integer>) endpoints::leavingCount,
+                "endpoints.quiet", (Gauge<Integer>) monitors.quietPeriods()::quietCount,
                 "endpoints.requests.withheld", (Gauge<Long>) monitors::withheld,
                 "endpoints.connections.opened", (Gauge<Long>) client::connectionsOpened,
                 "instances.accepting",
--- a/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
@@ -67,7 +67,7 @@
     }
 
     void start() {
-        call.dispatcher().onSent(endpoint.id());
+        call.dispatcher().onSent(endpoint);
         CallerRequest request = call.context().request;
         WorkspaceGrant grant = call.context().grant;
         HttpHeaders headers = CallHeadersAdapter.forEndpoint(
@@ -119,6 +119,7 @@
             return false;
         }
         isEnded = true;
+        call.dispatcher().onAttemptEnded(endpoint, startedMillis);
         if (timeoutTimer != null) {
             timeoutTimer.cancel(false);
         }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -17,6 +18,7 @@
 import org.jasminehub.core.balance.EndpointChoicePolicy;
 import org.jasminehub.core.balance.EndpointLoads;
 import org.jasminehub.core.balance.GroupBackoff;
+import org.jasminehub.core.balance.QuietPeriods;
 import org.jasminehub.core.error.ErrorCode;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
@@ -47,11 +49,15 @@
     /** Retry delay for a service without endpoints; registrations are read again within this time. */
     private static final long NO_ENDPOINT_RETRY_MILLIS = 1_000;
 
+    /** Interval at which queued calls are reconsidered while endpoints are quiet or start slowly. */
+    private static final long QUIET_TICK_MILLIS = 50;
+
     private final EventLoop loop;
     private final Clock clock;
     private final EndpointClient client;
     private final EndpointController endpoints;
     private final EndpointMonitors monitors;
+    private final QuietPeriods quiet;
     private final EndpointLoads loads;
     private final EndpointChoicePolicy choicePolicy;
     private final CallRetryBudget retryBudget;
@@ -62,6 +68,7 @@
     private final GroupBackoff groupBackoff;
     private final Set<RunningCall> running = new HashSet<>();
     private long nextSequence;
+    private boolean isQuietTickDue;
 
     /** Creates a dispatcher without calls. */
     public CallDispatcher(
@@ -81,6 +88,7 @@
         this.client = client;
         this.endpoints = endpoints;
         this.monitors = monitors;
+        this.quiet = monitors.quietPeriods();
         this.loads = loads;
         this.choicePolicy = choicePolicy;
         this.retryBudget = retryBudget;
@@ -95,11 +103,11 @@
         return running.size();
     }
 
-    /** Sends queued calls while endpoints have capacity for them, and refuses those whose endpoints are all leaving. */
+    /** Sends queued calls while endpoints have capacity for them, and refuses those whose endpoints are unavailable. */
     public void dispatchQueued() {
         for (Map.Entry<String, ServiceQueue> service : List.copyOf(queues.entrySet())) {
             ServiceQueue queue = service.getValue();
-            if (queue.length() > 0 && hasOnlyLeavingEndpoints(service.getKey())) {
+            if (queue.length() > 0 && hasEndpoints(service.getKey())) {
                 queue.inDispatchOrder()
                         .forEach(call -> unavailability(service.getKey()).ifPresent(call::refuse));
             }
@@ -130,7 +138,28 @@
                 .filter(endpoint -> endpoint.seat() == null
                         || !groupBackoff.isBackingOff(endpoint.seat().group()))
                 .toList();
-        return choicePolicy.choose(serving, call.triedEndpoints(), maxCallsPerSlot(call, serving));
+        // The limits of a group also depend on its quiet endpoints, whose calls go on.
+        ToDoubleFunction<EndpointId> maxCallsPerSlot = maxCallsPerSlot(call, serving);
+        List<EndpointRecord> candidates =
+                serving.stream().filter(this::isPastQuietPeriod).toList();
+        return choicePolicy.choose(candidates, call.triedEndpoints(), maxCallsPerSlot);
+    }
+
+    private boolean isPastQuietPeriod(EndpointRecord endpoint) {
+        boolean isAccepted = quiet.accepts(endpoint);
+        if (!isAccepted && !isQuietTickDue) {
+            isQuietTickDue = true;
+            after(QUIET_TICK_MILLIS, this::onQuietTick);
+        }
+        return isAccepted;
+    }
+
+    private void onQuietTick() {
+        isQuietTickDue = quiet.isActive();
+        if (isQuietTickDue) {
+            after(QUIET_TICK_MILLIS, this::onQuietTick);
+        }
+        dispatchQueued();
     }
 
     private ToDoubleFunction<EndpointId> maxCallsPerSlot(RunningCall call, List<EndpointRecord> serving) {
@@ -152,11 +181,18 @@
 
     /** Returns the refusal of calls to {@code service} if none of its endpoints accepts calls, else empty. */
     Optional<Refusal> unavailability(String service) {
-        if (!endpoints.serving(service).isEmpty()) {
-            return Optional.empty();
+        List<EndpointRecord> serving = endpoints.serving(service);
+        if (!serving.isEmpty()) {
+            OptionalLong retryAfterMillis = quiet.retryAfterMillis(serving, random.nextDouble());
+            return retryAfterMillis.isEmpty()
+                    ? Optional.empty()
+                    : Optional.of(Refusal.retryable(
+                            ErrorCode.ENDPOINTS_QUIET,
+                            retryAfterMillis.getAsLong(),
+                            "all endpoints of " + service + " refuse requests for now"));
         }
         return Optional.of(
-                hasOnlyLeavingEndpoints(service)
+                hasEndpoints(service)
                         ? Refusal.retryable(
                                 ErrorCode.NO_ENDPOINT,
                                 retryAfterMillis(service),
@@ -165,9 +201,10 @@
                                 ErrorCode.NO_ENDPOINT, NO_ENDPOINT_RETRY_MILLIS, "no endpoint of " + service));
     }
 
-    private boolean hasOnlyLeavingEndpoints(String service) {
-        return endpoints.serving(service).isEmpty()
-                && endpoints.all().stream()
+    /** Returns whether any endpoint of {@code service} is registered, also one that accepts no calls. */
+    private boolean hasEndpoints(String service) {
+        return !endpoints.serving(service).isEmpty()
+                || endpoints.all().stream()
                         .anyMatch(endpoint -> endpoint.service().equals(service));
     }
 
@@ -194,8 +231,14 @@
         return queue(service).retryAfterMillis(random.nextDouble());
     }
 
-    void onSent(EndpointId endpoint) {
-        loads.onSent(endpoint);
+    void onSent(EndpointRecord endpoint) {
+        loads.onSent(endpoint.id());
+        quiet.onSent(endpoint.incarnation());
+    }
+
+    /** Records that an attempt that was sent at {@code sentMillis} ended in any way. */
+    void onAttemptEnded(EndpointRecord endpoint, long sentMillis) {
+        quiet.onEnded(endpoint.incarnation(), sentMillis);
     }
 
     void onAttemptServed(String service, EndpointId endpoint) {
--- a/gateway/src/main/java/org/jasminehub/gateway/control/ControlEventKind.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/ControlEventKind.java
@@ -29,6 +29,9 @@
     RECORD_OUTDATED(3510, Severity.INFO, "A restored store shows an older record than the one known here."),
     /** An endpoint announced in a response that it is leaving. */
     ENDPOINT_LEAVING(3511, Severity.INFO, "An endpoint's answer says that it is leaving; it gets no new call."),
+    /** An endpoint refused a request and asked to be sent nothing for some time. */
+    ENDPOINT_QUIET(
+            3512, Severity.WARNING, "An endpoint refuses requests and asks for none for the time that the line says."),
     /** The process has started. */
     PROCESS_STARTED(1500, Severity.INFO, "The process has started."),
     /** The process was asked to stop. */
--- a/gateway/src/main/java/org/jasminehub/gateway/control/EndpointMonitors.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/EndpointMonitors.java
@@ -3,6 +3,9 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
+import org.jasminehub.core.balance.QuietPeriods;
+import org.jasminehub.core.balance.QuietRequest;
+import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.serving.EndpointIncarnation;
 import org.jasminehub.core.serving.EndpointRecord;
@@ -17,14 +20,23 @@
  */
 public final class EndpointMonitors {
     private final EndpointController endpoints;
+    private final QuietPeriods quiet;
+    private final EventSink events;
     private long withheld;
 
-    /** Creates monitors that report to {@code endpoints}. */
-    public EndpointMonitors(EndpointController endpoints) {
+    /** Creates monitors that report to {@code endpoints} and {@code quiet}. */
+    public EndpointMonitors(EndpointController endpoints, QuietPeriods quiet, EventSink events) {
         this.endpoints = endpoints;
+        this.quiet = quiet;
+        this.events = events;
     }
 
-    /** Returns how many requests were not written because their endpoint had become unavailable after the choice. */
+    /** Returns the endpoints that asked to be sent nothing for some time. */
+    public QuietPeriods quietPeriods() {
+        return quiet;
+    }
+
+    /** Returns how many requests were held back because their endpoint had become unavailable after the choice. */
     public long withheld() {
         return withheld;
     }
@@ -34,7 +46,7 @@
         return new ExchangeMonitor() {
             @Override
             public boolean maySend() {
-                return endpoints.accepts(endpoint) || withhold();
+                return (endpoints.accepts(endpoint) && !quiet.isQuiet(endpoint.incarnation())) || withhold();
             }
 
             @Override
@@ -46,13 +58,13 @@
 
     /**
      * Returns the monitor of a request to the engine at {@code endpoint} that this instance itself makes. An engine that
-     * is leaving still takes part in its group, so such requests go on.
+     * is leaving still takes part in its group, so such requests go on. One that asked for quiet is sent none.
      */
     public ExchangeMonitor forEngine(EndpointRecord endpoint) {
         return new ExchangeMonitor() {
             @Override
             public boolean maySend() {
-                return true;
+                return !quiet.isQuiet(endpoint.incarnation()) || withhold();
             }
 
             @Override
@@ -69,6 +81,10 @@
 
     private void observe(EndpointIncarnation expected, HttpResponseStatus status, HttpHeaders headers) {
         ResponseHeaders parsed = ResponseHeadersAdapter.decode(status, headers);
+        QuietRequest request = parsed.quietRequest();
+        if (request != null) {
+            respondent(expected, status, parsed).ifPresent(endpoint -> onQuietRequested(endpoint, request));
+        }
         if (parsed.isLeaving()) {
             respondent(expected, status, parsed)
                     .ifPresent(endpoint ->
@@ -76,6 +92,17 @@
         }
     }
 
+    private void onQuietRequested(EndpointIncarnation endpoint, QuietRequest request) {
+        if (quiet.onRequested(endpoint, request.periodMillis())) {
+            events.emit(new ControlEvent(
+                    ControlEventKind.ENDPOINT_QUIET,
+                    endpoint.id().value(),
+                    "refused a request; nothing is sent for " + request.periodMillis() + " ms"
+                            + (request.isAdjusted() ? ", since the stated time is malformed or too long" : ""),
+                    0));
+        }
+    }
+
     /** Returns the endpoint that responded; another one may have been assigned the address of the expected one. */
     private Optional<EndpointIncarnation> respondent(
             EndpointIncarnation expected, HttpResponseStatus status, ResponseHeaders parsed) {
--- a/gateway/src/main/java/org/jasminehub/gateway/experts/DirectEngineAccess.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/DirectEngineAccess.java
@@ -53,23 +53,26 @@
     private record EngineKey(EndpointIncarnation incarnation, EndpointAddress address) {}
 
     /** An agent for a remote engine that runs in this process, and the messenger that sends messages to it. */
-    private record DirectEngine(RankAgent agent, RankMessenger messenger) {}
+    private record DirectEngine(RankAgent agent, RankMessenger messenger, ExchangeMonitor monitor) {}
 
     /** Reads the reports of the engines whose agents are silent while their group is in the middle of a change. */
     void refreshSilentRanks(GroupPlacement group) {
         for (int rank : group.silentRanks()) {
             DirectEngine engine = find(group, rank);
-            if (engine != null) {
+            if (engine != null && engine.monitor().maySend()) {
                 engine.agent().refresh();
             }
         }
     }
 
-    /** Returns a messenger that sends orders to a rank's engine, null if no such engine is registered. */
+    /**
+     * Returns a messenger that sends orders to a rank's engine, null if no such engine is registered or if it must be sent
+     * nothing now.
+     */
     @Nullable
     RankMessenger messenger(GroupPlacement group, int rank) {
         DirectEngine engine = find(group, rank);
-        return engine == null ? null : engine.messenger();
+        return engine == null || !engine.monitor().maySend() ? null : engine.messenger();
     }
 
     void clear() {
@@ -92,12 +95,16 @@
     }
 
     private DirectEngine open(EndpointAddress address, EndpointRecord endpoint, GroupPlacement group) {
-        BufferedHttpClient engine = new BufferedHttpClient(client, address, "engine", monitors.apply(endpoint));
+        ExchangeMonitor monitor = monitors.apply(endpoint);
+        BufferedHttpClient engine = new BufferedHttpClient(client, address, "engine", monitor);
         RankAgent agent = new RankAgent(loop, clock, engine, events);
         RankMessenger messenger = new RankMessenger() {
             @Override
             public void send(PeerEnvelope message) {
-                agent.onMessage(replyHandler(this, group), message);
+                // An order that is held back counts as lost, and is sent again after the usual time.
+                if (monitor.maySend()) {
+                    agent.onMessage(replyHandler(this, group), message);
+                }
             }
         };
         agent.onMessage(
@@ -105,7 +112,7 @@
                 PeerEnvelope.newBuilder()
                         .setRankWatch(RankWatch.getDefaultInstance())
                         .build());
-        return new DirectEngine(agent, messenger);
+        return new DirectEngine(agent, messenger, monitor);
     }
 
     /** Returns a handler that passes the engine's messages, as sent by {@code messenger}, to the group's placement. */
--- a/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
@@ -168,6 +168,10 @@
                         && control.subject().equals(subject));
     }
 
+    long countEvents(ControlEventKind kind) {
+        return events.stream().filter(event -> event.kind() == kind).count();
+    }
+
     /** Waits until a condition holds that another thread establishes. */
     static void await(BooleanSupplier condition) {
         long endNanos = System.nanoTime() + TIMEOUT.toNanos();
--- a/gateway/src/test/java/org/jasminehub/gateway/experts/ExpertPlacementTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/experts/ExpertPlacementTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import org.jasminehub.core.era.EraTracker;
@@ -52,6 +53,8 @@
     private final List<PeerServer> agentServers = new ArrayList<>();
     private final List<InstanceRecord> agents = new ArrayList<>();
     private final AtomicBoolean isFirstResponsible = new AtomicBoolean(true);
+    private final AtomicInteger heldBack = new AtomicInteger();
+    private volatile String quietEndpoint = "";
     private final Set<String> leaving = ConcurrentHashMap.newKeySet();
     private EventLoop loop;
     private EventLoop engineLoop;
@@ -128,7 +131,9 @@
         return new ExchangeMonitor() {
             @Override
             public boolean maySend() {
-                return true;
+                boolean isHeldBack = endpoint.id().value().equals(quietEndpoint);
+                heldBack.addAndGet(isHeldBack ? 1 : 0);
+                return !isHeldBack;
             }
 
             @Override
@@ -205,4 +210,20 @@
         assertEquals(Set.of("e-1"), leaving);
         assertFalse(group.hasMixedMaps());
     }
+
+    @Test
+    void testAnEngineThatAskedForQuietIsNotReachedDirectlyUntilThePeriodEnds() {
+        quietEndpoint = "e-1";
+        group.holdNextStep();
+        agentServers.get(1).close();
+        agents.remove(1);
+        startCoordinator(() -> true);
+        await(() -> heldBack.get() >= 5);
+        assertEquals(0, group.requests(1));
+
+        quietEndpoint = "";
+
+        await(() -> !group.isHeld() && group.versionInUse() > 0);
+        assertFalse(group.hasMixedMaps());
+    }
 }
--- a/gateway/src/test/java/org/jasminehub/gateway/experts/GroupStandin.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/experts/GroupStandin.java
@@ -49,12 +49,14 @@
     private long step = 1;
     private int unansweredOrders;
     private int leavingRank = -1;
+    private final int[] requests;
     private boolean hasMixedMaps;
 
     /** Starts a group whose requests choose {@code hotExpert} most of the time. */
     GroupStandin(EventLoop loop, int size, int experts, int hotExpert) {
         this.loop = loop;
         this.hotExpert = hotExpert;
+        this.requests = new int[size];
         for (int index = 0; index < size; index++) {
             Rank rank = new Rank();
             rank.counts = new long[experts];
@@ -82,6 +84,11 @@
         unansweredOrders = orders;
     }
 
+    /** Returns the number of requests that {@code rank} has received. */
+    synchronized int requests(int rank) {
+        return requests[rank];
+    }
+
     /** Adds the announcement of a shutdown to all responses of {@code rank}. */
     synchronized void announceLeaving(int rank) {
         leavingRank = rank;
@@ -126,6 +133,7 @@
 
     private synchronized CallerExchange handle(int number, CallerRequest request, CallerResponse response) {
         Rank rank = ranks.get(number);
+        requests[number]++;
         HttpHeaders headers = new DefaultHttpHeaders(false);
         if (number == leavingRank) {
             headers.set("Server-Leaving", "1");
