--- a/core/src/main/java/org/jasminehub/core/error/ErrorCode.java
+++ b/core/src/main/java/org/jasminehub/core/error/ErrorCode.java
@@ -50,6 +50,8 @@
     NO_ENDPOINT("no-endpoint", 503),
     /** Calls with a part of this prompt crashed several endpoints and are held back. */
     PROMPT_QUARANTINED("prompt-quarantined", 503),
+    /** All endpoints that serve the route refused requests and asked to be sent none for some time. */
+    ENDPOINTS_QUIET("endpoints-quiet", 503),
     /** No more attempts are allowed for the request. */
     RETRIES_EXHAUSTED("retries-exhausted", 503),
     /** The endpoint failed before its response was complete. */
--- a/ctl/src/main/java/org/jasminehub/ctl/ExplainCommand.java
+++ b/ctl/src/main/java/org/jasminehub/ctl/ExplainCommand.java
@@ -22,6 +22,8 @@
             "READINESS_CHANGED",
             "CONFIGURATION_APPLIED",
             "SUSPENSION_NOTICED",
+            "ENDPOINT_LEAVING",
+            "ENDPOINT_QUIET",
             "PROCESS_STARTED",
             "PROCESS_STOPPING");
 
--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -3,9 +3,6 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -15,6 +12,7 @@
 import org.jasminehub.core.balance.CallRetryBudget;
 import org.jasminehub.core.balance.EndpointChoicePolicy;
 import org.jasminehub.core.balance.EndpointLoads;
+import org.jasminehub.core.balance.QuietPeriods;
 import org.jasminehub.core.era.EraTracker;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
@@ -36,6 +34,7 @@
 import org.jasminehub.gateway.control.ControlEventKind;
 import org.jasminehub.gateway.control.DelayedRunner;
 import org.jasminehub.gateway.control.EndpointController;
+import org.jasminehub.gateway.control.EndpointMonitors;
 import org.jasminehub.gateway.control.InstanceDirectory;
 import org.jasminehub.gateway.control.InstanceRegistration;
 import org.jasminehub.gateway.control.PeerExchange;
@@ -86,6 +85,7 @@
     private final EndpointClient client;
     private final ConfigurationController configuration;
     private final EndpointController endpoints;
+    private final EndpointMonitors monitors;
     private final InstanceRegistration registration;
     private final InstanceDirectory instances;
     private final PeerExchange peers;
@@ -107,8 +107,7 @@
         this.settings = settings;
         this.clock = clock;
         this.events = events;
-        this.loop = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("gateway"), NioIoHandler.newFactory())
-                .next();
+        this.loop = EntrySetup.newLoop();
         this.timer = (delayMillis, action) -> loop.schedule(action, delayMillis, TimeUnit.MILLISECONDS);
         this.client = new EndpointClient(loop, clock);
         this.eras = new EraTracker(clock);
@@ -119,11 +118,13 @@
                 store, StoreReads.configuration(this::instanceCount), timer, clock, events, eras);
         this.endpoints =
                 new EndpointController(store, StoreReads.endpoints(settings.drainMillis()), timer, clock, events, eras);
-        this.registration = new InstanceRegistration(self(settings, clock), store, timer, events, eras, random);
+        this.registration =
+                new InstanceRegistration(EntrySetup.self(settings, clock), store, timer, events, eras, random);
         this.instances = new InstanceDirectory(registration, store, StoreReads.instances(), timer, clock, events, eras);
         this.loads = new EndpointLoads(clock);
         this.peers = createPeerExchange();
         this.storeReliability = new StoreReliability(eras, instances, registration, peers::isInformed, clock);
+        this.monitors = new EndpointMonitors(endpoints, new QuietPeriods(clock), events);
         this.experts = new ExpertCoordinator(
                 loop,
                 clock,
@@ -133,16 +134,17 @@
                 this::expertLayout,
                 client,
                 endpoints::all,
+                monitors::forEngine,
                 eras,
                 peers::isCoordinator);
-        this.retryBudget = new CallRetryBudget(clock, settings.repeatRatio(), settings.repeatReserve(), (long)
-                (settings.repeatWindowSeconds() * TimeUnit.SECONDS.toMillis(1)));
+        this.retryBudget = EntrySetup.newRetryBudget(settings, clock);
         this.quarantine = new QuarantineController(client, store, instances, peers, timer, random, clock, events);
         this.dispatcher = new CallDispatcher(
                 loop,
                 clock,
                 client,
                 endpoints,
+                monitors,
                 loads,
                 new EndpointChoicePolicy(loads, new FailureDomain(settings.failureDomain()), random),
                 retryBudget,
@@ -174,19 +176,6 @@
         return peers == null ? 1 : peers.maxInstances();
     }
 
-    private static InstanceRecord self(GatewaySettings settings, Clock clock) {
-        EndpointAddress caller = EndpointAddress.parse(settings.callerAddress());
-        return InstanceRecord.newBuilder()
-                .setInstance(settings.instance())
-                .setHost(caller.host())
-                .setCallerPort(caller.port())
-                .setPeerPort(EndpointAddress.parse(settings.peerAddress()).port())
-                .setFailureDomain(settings.failureDomain())
-                .setStartedWallMillis(clock.wallMillis())
-                .setProcessorCores(settings.processorCores())
-                .build();
-    }
-
     /**
      * Opens all listeners and starts to read the configuration and the registrations; returns once all ports are bound.
      */
@@ -233,6 +222,9 @@
                                 configuration.inForce().map(RouteTable::version).orElse(0L),
                 "configuration.age.millis", (Gauge<Long>) configuration::ageMillis,
                 "endpoints.registered", (Gauge<Integer>) () -> endpoints.all().size(),
+                "endpoints.leaving", (Gauge<Integer>) endpoints::leavingCount,
+                "endpoints.quiet", (Gauge<Integer>) monitors.quietPeriods()::quietCount,
+                "endpoints.requests.withheld", (Gauge<Long>) monitors::withheld,
                 "endpoints.connections.opened", (Gauge<Long>) client::connectionsOpened,
                 "instances.accepting",
                         (Gauge<Integer>) () -> peers.acceptingInstances().size(),
--- a/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
@@ -71,7 +71,7 @@
     }
 
     void start() {
-        call.dispatcher().onSent(endpoint.id());
+        call.dispatcher().onSent(endpoint);
         CallerRequest request = call.context().request;
         WorkspaceGrant grant = call.context().grant;
         HttpHeaders headers = CallHeadersAdapter.forEndpoint(
@@ -93,7 +93,7 @@
         // An unsafe call uses a new connection: if a pooled one had just been closed, it would be unknown whether the
         // call ran.
         ConnectionUse connectionUse = call.route().mayRetry() ? ConnectionUse.KEPT_OR_NEW : ConnectionUse.NEW;
-        exchange = call.dispatcher().client().send(address(), message, connectionUse, this);
+        exchange = call.dispatcher().send(endpoint, message, connectionUse, this);
         startTimeout();
     }
 
@@ -123,6 +123,7 @@
             return false;
         }
         isEnded = true;
+        call.dispatcher().onAttemptEnded(endpoint, startedMillis);
         if (timeoutTimer != null) {
             timeoutTimer.cancel(false);
         }
@@ -221,6 +222,13 @@
 
     @Override
     public void onFailure(ExchangeFailure failure) {
+        if (failure == ExchangeFailure.WITHHELD) {
+            if (close()) {
+                call.dispatcher().onAttemptWithheld(endpoint.id());
+                call.onAttemptWithheld();
+            }
+            return;
+        }
         AttemptEnd end = failure == ExchangeFailure.NOT_CONNECTED ? AttemptEnd.NOT_RUN : AttemptEnd.MAY_HAVE_RUN;
         if (failure == ExchangeFailure.CUT) {
             failCut(failure.name());
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallContext.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallContext.java
@@ -36,4 +36,9 @@
     String requestId() {
         return headers == null || headers.requestId() == null ? "" : headers.requestId();
     }
+
+    /** Returns the time that the call had left when it arrived. */
+    long timeLimitMillis() {
+        return deadlineMillis - arrivedMillis;
+    }
 }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
@@ -1,12 +1,13 @@
 package org.jasminehub.gateway.call;
 
 import io.netty.channel.EventLoop;
-import java.util.ArrayList;
+import io.netty.handler.codec.http.FullHttpRequest;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -17,6 +18,8 @@
 import org.jasminehub.core.balance.EndpointChoicePolicy;
 import org.jasminehub.core.balance.EndpointLoads;
 import org.jasminehub.core.balance.GroupBackoff;
+import org.jasminehub.core.balance.QuietPeriods;
+import org.jasminehub.core.error.ErrorCode;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.serving.EndpointRecord;
@@ -25,7 +28,12 @@
 import org.jasminehub.core.serving.ServiceProfile;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.gateway.control.EndpointController;
+import org.jasminehub.gateway.control.EndpointMonitors;
+import org.jasminehub.gateway.net.ConnectionUse;
+import org.jasminehub.gateway.net.EndpointAddress;
 import org.jasminehub.gateway.net.EndpointClient;
+import org.jasminehub.gateway.net.Exchange;
+import org.jasminehub.gateway.net.ResponseSink;
 import org.jasminehub.gateway.quarantine.QuarantineController;
 
 /**
@@ -39,10 +47,18 @@
      */
     private static final int MIN_STREAMS_FOR_STALL = 3;
 
+    /** Retry delay for a service without endpoints; registrations are read again within this time. */
+    private static final long NO_ENDPOINT_RETRY_MILLIS = 1_000;
+
+    /** Interval at which queued calls are reconsidered while endpoints are quiet or start slowly. */
+    private static final long QUIET_TICK_MILLIS = 50;
+
     private final EventLoop loop;
     private final Clock clock;
     private final EndpointClient client;
     private final EndpointController endpoints;
+    private final EndpointMonitors monitors;
+    private final QuietPeriods quiet;
     private final EndpointLoads loads;
     private final EndpointChoicePolicy choicePolicy;
     private final CallRetryBudget retryBudget;
@@ -54,6 +70,7 @@
     private final GroupBackoff groupBackoff;
     private final Set<RunningCall> running = new HashSet<>();
     private long nextSequence;
+    private boolean isQuietTickDue;
 
     /** Creates a dispatcher without calls. */
     public CallDispatcher(
@@ -61,6 +78,7 @@
             Clock clock,
             EndpointClient client,
             EndpointController endpoints,
+            EndpointMonitors monitors,
             EndpointLoads loads,
             EndpointChoicePolicy choicePolicy,
             CallRetryBudget retryBudget,
@@ -72,6 +90,8 @@
         this.clock = clock;
         this.client = client;
         this.endpoints = endpoints;
+        this.monitors = monitors;
+        this.quiet = monitors.quietPeriods();
         this.loads = loads;
         this.choicePolicy = choicePolicy;
         this.retryBudget = retryBudget;
@@ -97,9 +117,14 @@
         List.copyOf(running).forEach(RunningCall::endIfQuarantined);
     }
 
-    /** Sends queued calls while endpoints have capacity for them. */
+    /** Sends queued calls while endpoints have capacity for them, and refuses those whose endpoints are unavailable. */
     public void dispatchQueued() {
-        for (ServiceQueue queue : new ArrayList<>(queues.values())) {
+        for (Map.Entry<String, ServiceQueue> service : List.copyOf(queues.entrySet())) {
+            ServiceQueue queue = service.getValue();
+            if (queue.length() > 0 && hasEndpoints(service.getKey())) {
+                queue.inDispatchOrder()
+                        .forEach(call -> unavailability(service.getKey()).ifPresent(call::refuse));
+            }
             for (RunningCall call : queue.inDispatchOrder()) {
                 Optional<EndpointRecord> endpoint = choose(call);
                 if (endpoint.isEmpty()) {
@@ -127,7 +152,28 @@
                 .filter(endpoint -> endpoint.seat() == null
                         || !groupBackoff.isBackingOff(endpoint.seat().group()))
                 .toList();
-        return choicePolicy.choose(serving, call.triedEndpoints(), maxCallsPerSlot(call, serving));
+        // The limits of a group also depend on its quiet endpoints, whose calls go on.
+        ToDoubleFunction<EndpointId> maxCallsPerSlot = maxCallsPerSlot(call, serving);
+        List<EndpointRecord> candidates =
+                serving.stream().filter(this::isPastQuietPeriod).toList();
+        return choicePolicy.choose(candidates, call.triedEndpoints(), maxCallsPerSlot);
+    }
+
+    private boolean isPastQuietPeriod(EndpointRecord endpoint) {
+        boolean isAccepted = quiet.accepts(endpoint);
+        if (!isAccepted && !isQuietTickDue) {
+            isQuietTickDue = true;
+            after(QUIET_TICK_MILLIS, this::onQuietTick);
+        }
+        return isAccepted;
+    }
+
+    private void onQuietTick() {
+        isQuietTickDue = quiet.isActive();
+        if (isQuietTickDue) {
+            after(QUIET_TICK_MILLIS, this::onQuietTick);
+        }
+        dispatchQueued();
     }
 
     private ToDoubleFunction<EndpointId> maxCallsPerSlot(RunningCall call, List<EndpointRecord> serving) {
@@ -147,8 +193,38 @@
         return queues.computeIfAbsent(service, each -> new ServiceQueue(clock));
     }
 
-    boolean hasEndpoints(String service) {
-        return !endpoints.serving(service).isEmpty();
+    /** Returns the refusal of calls to {@code service} if none of its endpoints accepts calls, else empty. */
+    Optional<Refusal> unavailability(String service) {
+        List<EndpointRecord> serving = endpoints.serving(service);
+        if (!serving.isEmpty()) {
+            OptionalLong retryAfterMillis = quiet.retryAfterMillis(serving, random.nextDouble());
+            return retryAfterMillis.isEmpty()
+                    ? Optional.empty()
+                    : Optional.of(Refusal.retryable(
+                            ErrorCode.ENDPOINTS_QUIET,
+                            retryAfterMillis.getAsLong(),
+                            "all endpoints of " + service + " refuse requests for now"));
+        }
+        return Optional.of(
+                hasEndpoints(service)
+                        ? Refusal.retryable(
+                                ErrorCode.NO_ENDPOINT,
+                                retryAfterMillis(service),
+                                "all endpoints of " + service + " are leaving")
+                        : Refusal.retryable(
+                                ErrorCode.NO_ENDPOINT, NO_ENDPOINT_RETRY_MILLIS, "no endpoint of " + service));
+    }
+
+    /** Returns whether any endpoint of {@code service} is registered, also one that accepts no calls. */
+    private boolean hasEndpoints(String service) {
+        return !endpoints.serving(service).isEmpty()
+                || endpoints.all().stream()
+                        .anyMatch(endpoint -> endpoint.service().equals(service));
+    }
+
+    Exchange send(EndpointRecord endpoint, FullHttpRequest request, ConnectionUse use, ResponseSink sink) {
+        EndpointAddress address = new EndpointAddress(endpoint.host(), endpoint.port());
+        return client.send(address, request, use, sink, monitors.forCall(endpoint));
     }
 
     /** Returns whether the call is likely to get capacity within {@code maxWaitMillis}. */
@@ -169,8 +245,14 @@
         return queue(service).retryAfterMillis(random.nextDouble());
     }
 
-    void onSent(EndpointId endpoint) {
-        loads.onSent(endpoint);
+    void onSent(EndpointRecord endpoint) {
+        loads.onSent(endpoint.id());
+        quiet.onSent(endpoint.incarnation());
+    }
+
+    /** Records that an attempt that was sent at {@code sentMillis} ended in any way. */
+    void onAttemptEnded(EndpointRecord endpoint, long sentMillis) {
+        quiet.onEnded(endpoint.incarnation(), sentMillis);
     }
 
     void onAttemptServed(String service, EndpointId endpoint) {
@@ -190,6 +272,11 @@
         loop.execute(this::dispatchQueued);
     }
 
+    /** Records that an attempt ended without having been written to a connection. */
+    void onAttemptWithheld(EndpointId endpoint) {
+        loads.onEnded(endpoint);
+    }
+
     void onAttemptCancelled(String service, EndpointId endpoint) {
         queue(service).onCapacityFreed();
         loads.onEnded(endpoint);
@@ -224,8 +311,9 @@
         return loop.schedule(action, Math.max(0, millis), TimeUnit.MILLISECONDS);
     }
 
+    /** Returns whether a call may be sent once more, which uses up part of the retry budget. */
     boolean tryRetry(String service) {
-        return retryBudget.tryRetry(service);
+        return unavailability(service).isEmpty() && retryBudget.tryRetry(service);
     }
 
     long nextSequence() {
--- a/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
@@ -27,9 +27,6 @@
      */
     private static final long MAX_REQUEUE_WAIT_MILLIS = 1_500;
 
-    /** Retry delay for a service without endpoints; registrations are read again within this time. */
-    private static final long NO_ENDPOINT_RETRY_MILLIS = 1_000;
-
     /** Delay before a retry after an engine refused a call; about one or two passes of a group. */
     private static final long REFUSAL_RETRY_DELAY_MILLIS = 150;
 
@@ -121,17 +118,13 @@
      * any case.
      */
     boolean isCallerRetry() {
-        return CallQueuePolicy.isCallerRetry(route(), timeBudgetMillis());
+        return CallQueuePolicy.isCallerRetry(route(), context.timeLimitMillis());
     }
 
     CallPrompt prompt() {
         return prompt;
     }
 
-    private long timeBudgetMillis() {
-        return context.deadlineMillis - context.arrivedMillis;
-    }
-
     long remainingMillis() {
         return context.deadlineMillis - dispatcher.clock().monotonicMillis();
     }
@@ -183,9 +176,9 @@
         if (refuseIfQuarantined()) {
             return;
         }
-        if (!dispatcher.hasEndpoints(service())) {
-            endWithRefusal(
-                    Refusal.retryable(ErrorCode.NO_ENDPOINT, NO_ENDPOINT_RETRY_MILLIS, "no endpoint of " + service()));
+        Optional<Refusal> unavailability = dispatcher.unavailability(service());
+        if (unavailability.isPresent()) {
+            endWithRefusal(unavailability.get());
             return;
         }
         Optional<EndpointRecord> endpoint = dispatcher.choose(this);
@@ -193,7 +186,7 @@
             send(endpoint.get());
             return;
         }
-        long maxWaitMillis = CallQueuePolicy.maxWaitMillis(route(), timeBudgetMillis()) - elapsedMillis();
+        long maxWaitMillis = CallQueuePolicy.maxWaitMillis(route(), context.timeLimitMillis()) - elapsedMillis();
         if (sends > 0) {
             // Work has already been spent on the call, so it stays queued even if it will miss its target latency.
             maxWaitMillis = Math.min(remainingMillis(), MAX_REQUEUE_WAIT_MILLIS);
@@ -236,7 +229,8 @@
 
     /** Returns whether the call could be retried if the current attempt were ended now. */
     boolean mayRetryAfterRun() {
-        return CallRetryPolicy.mayRetry(route(), AttemptEnd.MAY_HAVE_RUN, runs + 1, sends, remainingMillis());
+        return CallRetryPolicy.mayRetry(route(), AttemptEnd.MAY_HAVE_RUN, runs + 1, sends, remainingMillis())
+                && dispatcher.unavailability(service()).isEmpty();
     }
 
     /**
@@ -278,16 +272,27 @@
         }
     }
 
+    /** Called when the current attempt was not written because its endpoint had become unavailable. */
+    void onAttemptWithheld() {
+        attempt = null;
+        sends--;
+        lastEndpoint = sends == 0 ? "" : lastEndpoint;
+        dispatch();
+    }
+
     /** Responds with an error that this instance creates, because the call failed and is not retried. */
     void respondWithFailure(AttemptEnd end, String reason) {
         if (end.isNotRun() && runs == 0) {
-            endWithRefusal(Refusal.retryable(ErrorCode.OVERLOADED, dispatcher.retryAfterMillis(service()), reason));
+            endWithRefusal(dispatcher
+                    .unavailability(service())
+                    .orElseGet(() ->
+                            Refusal.retryable(ErrorCode.OVERLOADED, dispatcher.retryAfterMillis(service()), reason)));
         } else {
             endWithRefusal(Refusal.of(ErrorCode.ENDPOINT_FAILED, reason));
         }
     }
 
-    /** Refuses the call before it was dispatched. */
+    /** Refuses the call while no attempt is open. */
     void refuse(Refusal refusal) {
         endWithRefusal(refusal);
     }
--- a/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
@@ -87,6 +87,7 @@
     private final boolean ownsStore;
     private final ShiftableClock clock = new ShiftableClock();
     private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+    private final MetricRegistry metrics = new MetricRegistry();
     private final EntryProgram entry;
 
     GatewayHarness() {
@@ -122,7 +123,7 @@
                 0.2,
                 60,
                 10);
-        entry = new EntryProgram(settings, clock, events::add, new MetricRegistry());
+        entry = new EntryProgram(settings, clock, events::add, metrics);
         entry.start();
     }
 
@@ -152,6 +153,11 @@
         return store;
     }
 
+    /** Returns the value of a gauge of the entry instance that counts in whole numbers. */
+    long gauge(String name) {
+        return ((Number) metrics.getGauges().get(name).getValue()).longValue();
+    }
+
     ShiftableClock clock() {
         return clock;
     }
@@ -216,6 +222,10 @@
                 .toList();
     }
 
+    long countEvents(ControlEventKind kind) {
+        return events.stream().filter(event -> event.kind() == kind).count();
+    }
+
     /** Waits until a condition holds that another thread establishes. */
     static void await(BooleanSupplier condition) {
         long endNanos = System.nanoTime() + TIMEOUT.toNanos();
--- a/gateway/src/test/java/org/jasminehub/gateway/experts/ExpertPlacementTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/experts/ExpertPlacementTest.java
@@ -1,15 +1,21 @@
 package org.jasminehub.gateway.experts;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import org.jasminehub.core.era.EraTracker;
@@ -24,7 +30,9 @@
 import org.jasminehub.gateway.net.BufferedHttpClient;
 import org.jasminehub.gateway.net.EndpointAddress;
 import org.jasminehub.gateway.net.EndpointClient;
+import org.jasminehub.gateway.net.ExchangeMonitor;
 import org.jasminehub.gateway.peer.PeerServer;
+import org.jasminehub.platform.hosted.ResponseHeadersAdapter;
 import org.jasminehub.runtime.time.SystemClock;
 import org.jasminehub.wire.generated.InstanceRecord;
 import org.junit.jupiter.api.AfterEach;
@@ -45,6 +53,9 @@
     private final List<PeerServer> agentServers = new ArrayList<>();
     private final List<InstanceRecord> agents = new ArrayList<>();
     private final AtomicBoolean isFirstResponsible = new AtomicBoolean(true);
+    private final AtomicInteger heldBack = new AtomicInteger();
+    private volatile String quietEndpoint = "";
+    private final Set<String> leaving = ConcurrentHashMap.newKeySet();
     private EventLoop loop;
     private EventLoop engineLoop;
     private GroupStandin group;
@@ -92,6 +103,7 @@
                 () -> LAYOUT,
                 new EndpointClient(loop, clock),
                 this::endpoints,
+                this::monitor,
                 new EraTracker(clock),
                 group -> isResponsible.getAsBoolean());
         loop.execute(coordinator::start);
@@ -114,6 +126,25 @@
         return result;
     }
 
+    /** Returns a monitor that collects the endpoints whose responses announce that they are leaving. */
+    private ExchangeMonitor monitor(EndpointRecord endpoint) {
+        return new ExchangeMonitor() {
+            @Override
+            public boolean maySend() {
+                boolean isHeldBack = endpoint.id().value().equals(quietEndpoint);
+                heldBack.addAndGet(isHeldBack ? 1 : 0);
+                return !isHeldBack;
+            }
+
+            @Override
+            public void onHead(HttpResponseStatus status, HttpHeaders headers) {
+                if (ResponseHeadersAdapter.decode(status, headers).isLeaving()) {
+                    leaving.add(endpoint.id().value());
+                }
+            }
+        };
+    }
+
     private static void await(BooleanSupplier condition) {
         while (!condition.getAsBoolean()) {
             if (Thread.currentThread().isInterrupted()) {
@@ -165,4 +196,34 @@
 
         assertFalse(group.hasMixedMaps());
     }
+
+    @Test
+    void testAnEngineThatIsReachedDirectlyIsHeardWhenItAnnouncesItsLeaving() {
+        group.announceLeaving(1);
+        group.holdNextStep();
+        agentServers.get(1).close();
+        agents.remove(1);
+        startCoordinator(() -> true);
+
+        await(() -> !leaving.isEmpty() && !group.isHeld() && group.versionInUse() > 0);
+
+        assertEquals(Set.of("e-1"), leaving);
+        assertFalse(group.hasMixedMaps());
+    }
+
+    @Test
+    void testAnEngineThatAskedForQuietIsNotReachedDirectlyUntilThePeriodEnds() {
+        quietEndpoint = "e-1";
+        group.holdNextStep();
+        agentServers.get(1).close();
+        agents.remove(1);
+        startCoordinator(() -> true);
+        await(() -> heldBack.get() >= 5);
+        assertEquals(0, group.requests(1));
+
+        quietEndpoint = "";
+
+        await(() -> !group.isHeld() && group.versionInUse() > 0);
+        assertFalse(group.hasMixedMaps());
+    }
 }
