Tests end the event loop of an instance that they close

Cause: a closed test instance went on reading its store, since only its listeners and calls had ended; the port of that store was assigned again to an endpoint of a later test, which counted the three reads (configuration, endpoints, instances) as requests. More tests, more such instances. Change: GatewayHarness.close ends the event loop, as the end of the process does; PeersTest does the same. No check changes.

--- a/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
@@ -263,18 +263,15 @@
     }
 
     /** Stops the instance as a SIGTERM does and closes all its sockets, as the end of its process does. */
-    void stopProcess() {
-        entry.stop();
-        EventLoop loop = entry.client().loop();
-        // Without a quiet period, Netty may end the loop before it has closed the channels.
-        loop.shutdownGracefully(QUIET_MILLIS, TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
-        await(loop::isTerminated);
-        closeStore();
-    }
-
     @Override
     public void close() {
-        entry.stop();
+        EventLoop loop = entry.client().loop();
+        if (!loop.isShuttingDown()) {
+            entry.stop();
+            // Without a quiet period, Netty may end the loop before it has closed the channels.
+            loop.shutdownGracefully(QUIET_MILLIS, TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+            await(loop::isTerminated);
+        }
         closeStore();
     }
 
--- a/gateway/src/test/java/org/jasminehub/gateway/PeersTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/PeersTest.java
@@ -83,6 +83,7 @@
     @AfterEach
     void stop() {
         entries.forEach(EntryProgram::stop);
+        entries.forEach(entry -> entry.client().loop().shutdownGracefully(0, 0, TimeUnit.MILLISECONDS));
         store.close();
         storeLoop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
     }
--- a/gateway/src/test/java/org/jasminehub/gateway/SoakGateway.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/SoakGateway.java
@@ -64,7 +64,7 @@
     /** Requests the stop and returns once the process has ended. */
     void stop() {
         signalNanos = System.nanoTime();
-        harness.stopProcess();
+        harness.close();
         endedNanos = System.nanoTime();
         isEnded = true;
     }
