The choice of an endpoint is a class of its own

EndpointSelector takes over the choice among the serving endpoints, with quiet periods and limits of groups. Behaviour is unchanged: QuietEndpointsTest, CallsTest and StreamsTest pass.

--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
@@ -11,7 +11,6 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 import org.jasminehub.core.balance.AttemptEnd;
 import org.jasminehub.core.balance.CallRetryBudget;
@@ -23,9 +22,7 @@
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.serving.EndpointRecord;
-import org.jasminehub.core.serving.EngineProfile;
 import org.jasminehub.core.serving.GroupSeat;
-import org.jasminehub.core.serving.ServiceProfile;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.gateway.control.EndpointController;
 import org.jasminehub.gateway.control.EndpointMonitors;
@@ -50,9 +47,6 @@
     /** Retry delay for a service without endpoints; registrations are read again within this time. */
     private static final long NO_ENDPOINT_RETRY_MILLIS = 1_000;
 
-    /** Interval at which queued calls are reconsidered while endpoints are quiet or start slowly. */
-    private static final long QUIET_TICK_MILLIS = 50;
-
     private final EventLoop loop;
     private final Clock clock;
     private final EndpointClient client;
@@ -60,17 +54,15 @@
     private final EndpointMonitors monitors;
     private final QuietPeriods quiet;
     private final EndpointLoads loads;
-    private final EndpointChoicePolicy choicePolicy;
+    private final EndpointSelector selector;
     private final CallRetryBudget retryBudget;
     private final QuarantineController quarantine;
     private final RandomGenerator random;
     private final EventSink events;
-    private final ConcurrencyLimits concurrency;
     private final Map<String, ServiceQueue> queues = new HashMap<>();
     private final GroupBackoff groupBackoff;
     private final Set<RunningCall> running = new HashSet<>();
     private long nextSequence;
-    private boolean isQuietTickDue;
 
     /** Creates a dispatcher without calls. */
     public CallDispatcher(
@@ -93,13 +85,13 @@
         this.monitors = monitors;
         this.quiet = monitors.quietPeriods();
         this.loads = loads;
-        this.choicePolicy = choicePolicy;
         this.retryBudget = retryBudget;
         this.quarantine = quarantine;
-        this.concurrency = concurrency;
         this.random = random;
         this.events = events;
         this.groupBackoff = new GroupBackoff(clock);
+        this.selector = new EndpointSelector(
+                endpoints, quiet, loads, choicePolicy, groupBackoff, concurrency, this::after, this::dispatchQueued);
     }
 
     /** Returns how many calls are open. */
@@ -148,45 +140,7 @@
 
     /** Returns an endpoint with capacity for the call, or empty if there is none. */
     Optional<EndpointRecord> choose(RunningCall call) {
-        List<EndpointRecord> serving = endpoints.serving(call.service()).stream()
-                .filter(endpoint -> endpoint.seat() == null
-                        || !groupBackoff.isBackingOff(endpoint.seat().group()))
-                .toList();
-        // The limits of a group also depend on its quiet endpoints, whose calls go on.
-        ToDoubleFunction<EndpointId> maxCallsPerSlot = maxCallsPerSlot(call, serving);
-        List<EndpointRecord> candidates =
-                serving.stream().filter(this::isPastQuietPeriod).toList();
-        return choicePolicy.choose(candidates, call.triedEndpoints(), maxCallsPerSlot);
-    }
-
-    private boolean isPastQuietPeriod(EndpointRecord endpoint) {
-        boolean isAccepted = quiet.accepts(endpoint);
-        if (!isAccepted && !isQuietTickDue) {
-            isQuietTickDue = true;
-            after(QUIET_TICK_MILLIS, this::onQuietTick);
-        }
-        return isAccepted;
-    }
-
-    private void onQuietTick() {
-        isQuietTickDue = quiet.isActive();
-        if (isQuietTickDue) {
-            after(QUIET_TICK_MILLIS, this::onQuietTick);
-        }
-        dispatchQueued();
-    }
-
-    private ToDoubleFunction<EndpointId> maxCallsPerSlot(RunningCall call, List<EndpointRecord> serving) {
-        ServiceProfile profile = call.profile();
-        double limit = concurrency.maxCallsPerSlot(profile);
-        EngineProfile engine = profile == null ? null : profile.engine();
-        if (engine == null) {
-            return endpoint -> limit;
-        }
-        Map<EndpointId, Double> callsPerSlot = queue(call.service())
-                .concurrencyLimits()
-                .callsPerSlot(engine, call.route().maxPauseMillis(), serving, loads::openCalls);
-        return endpoint -> Math.min(limit, callsPerSlot.getOrDefault(endpoint, limit));
+        return selector.choose(call, queue(call.service()));
     }
 
     private ServiceQueue queue(String service) {
--- /dev/null
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/EndpointSelector.java
@@ -0,0 +1,99 @@
+package org.jasminehub.gateway.call;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.ToDoubleFunction;
+import org.jasminehub.core.balance.EndpointChoicePolicy;
+import org.jasminehub.core.balance.EndpointLoads;
+import org.jasminehub.core.balance.GroupBackoff;
+import org.jasminehub.core.balance.QuietPeriods;
+import org.jasminehub.core.identity.EndpointId;
+import org.jasminehub.core.serving.EndpointRecord;
+import org.jasminehub.core.serving.EngineProfile;
+import org.jasminehub.core.serving.ServiceProfile;
+import org.jasminehub.gateway.control.DelayedRunner;
+import org.jasminehub.gateway.control.EndpointController;
+
+/** Selects the endpoints that calls are sent to. Must be used on the process's event loop only. */
+final class EndpointSelector {
+    /** Interval at which queued calls are reconsidered while endpoints are quiet or start slowly. */
+    private static final long QUIET_TICK_MILLIS = 50;
+
+    private final EndpointController endpoints;
+    private final QuietPeriods quiet;
+    private final EndpointLoads loads;
+    private final EndpointChoicePolicy choicePolicy;
+    private final GroupBackoff groupBackoff;
+    private final ConcurrencyLimits concurrency;
+    private final DelayedRunner timer;
+    private final Runnable dispatchQueued;
+    private boolean isQuietTickDue;
+
+    /**
+     * Creates a selector.
+     *
+     * @param dispatchQueued runs when queued calls may have become possible to send
+     */
+    EndpointSelector(
+            EndpointController endpoints,
+            QuietPeriods quiet,
+            EndpointLoads loads,
+            EndpointChoicePolicy choicePolicy,
+            GroupBackoff groupBackoff,
+            ConcurrencyLimits concurrency,
+            DelayedRunner timer,
+            Runnable dispatchQueued) {
+        this.endpoints = endpoints;
+        this.quiet = quiet;
+        this.loads = loads;
+        this.choicePolicy = choicePolicy;
+        this.groupBackoff = groupBackoff;
+        this.concurrency = concurrency;
+        this.timer = timer;
+        this.dispatchQueued = dispatchQueued;
+    }
+
+    /** Returns an endpoint with capacity for {@code call}, or empty if there is none. */
+    Optional<EndpointRecord> choose(RunningCall call, ServiceQueue queue) {
+        List<EndpointRecord> serving = endpoints.serving(call.service()).stream()
+                .filter(endpoint -> endpoint.seat() == null
+                        || !groupBackoff.isBackingOff(endpoint.seat().group()))
+                .toList();
+        // The limits of a group also depend on its quiet endpoints, whose calls go on.
+        ToDoubleFunction<EndpointId> maxCallsPerSlot = maxCallsPerSlot(call, queue, serving);
+        List<EndpointRecord> candidates =
+                serving.stream().filter(this::isPastQuietPeriod).toList();
+        return choicePolicy.choose(candidates, call.triedEndpoints(), maxCallsPerSlot);
+    }
+
+    private boolean isPastQuietPeriod(EndpointRecord endpoint) {
+        boolean isAccepted = quiet.accepts(endpoint);
+        if (!isAccepted && !isQuietTickDue) {
+            isQuietTickDue = true;
+            timer.runAfter(QUIET_TICK_MILLIS, this::onQuietTick);
+        }
+        return isAccepted;
+    }
+
+    private void onQuietTick() {
+        isQuietTickDue = quiet.isActive();
+        if (isQuietTickDue) {
+            timer.runAfter(QUIET_TICK_MILLIS, this::onQuietTick);
+        }
+        dispatchQueued.run();
+    }
+
+    private ToDoubleFunction<EndpointId> maxCallsPerSlot(
+            RunningCall call, ServiceQueue queue, List<EndpointRecord> serving) {
+        ServiceProfile profile = call.profile();
+        double limit = concurrency.maxCallsPerSlot(profile);
+        EngineProfile engine = profile == null ? null : profile.engine();
+        if (engine == null) {
+            return endpoint -> limit;
+        }
+        Map<EndpointId, Double> callsPerSlot = queue.concurrencyLimits()
+                .callsPerSlot(engine, call.route().maxPauseMillis(), serving, loads::openCalls);
+        return endpoint -> Math.min(limit, callsPerSlot.getOrDefault(endpoint, limit));
+    }
+}
