Instances together stay within the limit that an endpoint states

Callers saw nothing.

Cause: nothing read the limit; and no instance could have respected it alone, since it applies to the sum. Class of fault: a limit for the whole fleet that nobody in the fleet holds.

For each limited endpoint one instance, chosen by rendezvous hashing, issues permits at the rate of the limit, and every request uses one up, retries and resumed streams included. Limits and their ends are told to all peers at once. Without a chance of a permit in time a call is refused at once, with the time to come back.

Ruled out: equal shares for all instances (300 instances and 1.4 requests a second), loans of shares (they settle too slowly), a lease in the store (the store may be away), all calls through one instance. The system's own reads are not counted: callers' requests alone are exactly the counted ones.

--- a/core/src/main/java/org/jasminehub/core/error/ErrorCode.java
+++ b/core/src/main/java/org/jasminehub/core/error/ErrorCode.java
@@ -52,6 +52,8 @@
     PROMPT_QUARANTINED("prompt-quarantined", 503),
     /** All endpoints that serve the route refused requests and asked to be sent none for some time. */
     ENDPOINTS_QUIET("endpoints-quiet", 503),
+    /** All endpoints that serve the route limit the requests that they take, and other calls use up the limits. */
+    ENDPOINTS_LIMITED("endpoints-limited", 503),
     /** No more attempts are allowed for the request. */
     RETRIES_EXHAUSTED("retries-exhausted", 503),
     /** The endpoint failed before its response was complete. */
--- a/ctl/src/main/java/org/jasminehub/ctl/ExplainCommand.java
+++ b/ctl/src/main/java/org/jasminehub/ctl/ExplainCommand.java
@@ -24,6 +24,7 @@
             "SUSPENSION_NOTICED",
             "ENDPOINT_LEAVING",
             "ENDPOINT_QUIET",
+            "ENDPOINT_LIMITED",
             "PROCESS_STARTED",
             "PROCESS_STOPPING");
 
--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -47,6 +47,7 @@
 import org.jasminehub.gateway.net.StoreConnection;
 import org.jasminehub.gateway.peer.PeerServer;
 import org.jasminehub.gateway.quarantine.QuarantineController;
+import org.jasminehub.gateway.ratelimit.RateLimitController;
 import org.jasminehub.gateway.telemetry.MetricsHandler;
 import org.jasminehub.platform.hosted.StoreClient;
 import org.jasminehub.wire.generated.InstanceRecord;
@@ -85,6 +86,7 @@
     private final EndpointClient client;
     private final ConfigurationController configuration;
     private final EndpointController endpoints;
+    private final RateLimitController rateLimits;
     private final EndpointMonitors monitors;
     private final InstanceRegistration registration;
     private final InstanceDirectory instances;
@@ -124,7 +126,8 @@
         this.loads = new EndpointLoads(clock);
         this.peers = createPeerExchange();
         this.storeReliability = new StoreReliability(eras, instances, registration, peers::isInformed, clock);
-        this.monitors = new EndpointMonitors(endpoints, new QuietPeriods(clock), events);
+        this.rateLimits = new RateLimitController(settings.instance(), peers, timer, clock, events);
+        this.monitors = new EndpointMonitors(endpoints, new QuietPeriods(clock), rateLimits, clock, events);
         this.experts = new ExpertCoordinator(
                 loop,
                 clock,
@@ -145,6 +148,7 @@
                 client,
                 endpoints,
                 monitors,
+                rateLimits.permits(),
                 loads,
                 new EndpointChoicePolicy(loads, new FailureDomain(settings.failureDomain()), random),
                 retryBudget,
@@ -205,6 +209,7 @@
                 updateReadiness();
             });
             quarantine.start(dispatcher::refuseQuarantined);
+            rateLimits.start(dispatcher::dispatchQueued);
             peers.start(dispatcher::dispatchQueued);
             peers.setSlowdownSource(() -> experts.isActive() ? Optional.of(experts.slowEndpoints()) : Optional.empty());
             experts.start();
@@ -230,6 +235,7 @@
                         (Gauge<Integer>) () -> peers.acceptingInstances().size(),
                 "ready", (Gauge<Integer>) () -> isReady ? 1 : 0);
         gauges.forEach(metrics::register);
+        rateLimits.register(metrics);
         return new MetricsHandler(metrics);
     }
 
@@ -305,6 +311,7 @@
     }
 
     private void onEndpointsChanged() {
+        rateLimits.onRegistrations(endpoints.all());
         dispatcher.dispatchQueued();
         updateReadiness();
     }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
@@ -21,6 +21,7 @@
 import org.jasminehub.core.error.ErrorCode;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
+import org.jasminehub.core.ratelimit.RatePermits;
 import org.jasminehub.core.serving.EndpointRecord;
 import org.jasminehub.core.serving.GroupSeat;
 import org.jasminehub.core.time.Clock;
@@ -53,6 +54,7 @@
     private final EndpointController endpoints;
     private final EndpointMonitors monitors;
     private final QuietPeriods quiet;
+    private final RatePermits permits;
     private final EndpointLoads loads;
     private final EndpointSelector selector;
     private final CallRetryBudget retryBudget;
@@ -71,6 +73,7 @@
             EndpointClient client,
             EndpointController endpoints,
             EndpointMonitors monitors,
+            RatePermits permits,
             EndpointLoads loads,
             EndpointChoicePolicy choicePolicy,
             CallRetryBudget retryBudget,
@@ -84,6 +87,7 @@
         this.endpoints = endpoints;
         this.monitors = monitors;
         this.quiet = monitors.quietPeriods();
+        this.permits = permits;
         this.loads = loads;
         this.retryBudget = retryBudget;
         this.quarantine = quarantine;
@@ -91,7 +95,15 @@
         this.events = events;
         this.groupBackoff = new GroupBackoff(clock);
         this.selector = new EndpointSelector(
-                endpoints, quiet, loads, choicePolicy, groupBackoff, concurrency, this::after, this::dispatchQueued);
+                endpoints,
+                quiet,
+                loads,
+                choicePolicy,
+                groupBackoff,
+                concurrency,
+                permits,
+                this::after,
+                this::dispatchQueued);
     }
 
     /** Returns how many calls are open. */
@@ -125,6 +137,24 @@
                 queue.remove(call);
                 call.send(endpoint.get());
             }
+            refuseBeyondRateLimits(service.getKey(), queue);
+        }
+    }
+
+    /** Refuses the queued calls that cannot get a permit in time because all endpoints of {@code service} limit requests. */
+    private void refuseBeyondRateLimits(String service, ServiceQueue queue) {
+        List<EndpointRecord> serving = endpoints.serving(service);
+        int ahead = 0;
+        for (RunningCall call : queue.inDispatchOrder()) {
+            OptionalLong waitMillis = permits.expectedWaitMillis(serving, ahead);
+            if (waitMillis.isEmpty()) {
+                return;
+            }
+            if (waitMillis.getAsLong() > call.remainingWaitMillis()) {
+                call.refuseForCapacity();
+            } else {
+                ahead++;
+            }
         }
     }
 
@@ -183,15 +213,37 @@
 
     /** Returns whether the call is likely to get capacity within {@code maxWaitMillis}. */
     boolean mayWait(RunningCall call, long maxWaitMillis) {
-        return queue(call.service()).mayWait(call, maxWaitMillis);
+        ServiceQueue queue = queue(call.service());
+        return queue.mayWait(call, maxWaitMillis)
+                && permits.expectedWaitMillis(endpoints.serving(call.service()), queue.ahead(call))
+                                .orElse(0)
+                        <= maxWaitMillis;
+    }
+
+    /** Returns the refusal of {@code call} because no endpoint of its service has capacity for it in time. */
+    Refusal noCapacity(RunningCall call) {
+        String service = call.service();
+        ServiceQueue queue = queue(service);
+        OptionalLong permitMillis = permits.expectedWaitMillis(endpoints.serving(service), queue.ahead(call));
+        if (permitMillis.isPresent()) {
+            return Refusal.retryable(
+                    ErrorCode.ENDPOINTS_LIMITED,
+                    RatePermits.retryAfterMillis(permitMillis.getAsLong(), random.nextDouble()),
+                    "all endpoints of " + service + " limit their requests; " + queue.length() + " calls in line");
+        }
+        return Refusal.retryable(
+                ErrorCode.OVERLOADED,
+                retryAfterMillis(service),
+                "no endpoint of " + service + " had room in time; " + queue.length() + " calls in line");
     }
 
-    void enqueue(RunningCall call) {
-        queue(call.service()).enqueue(call);
+    /** Returns whether the rate limits of the endpoints of {@code service} allow a call to be sent to any of them now. */
+    boolean isAnyPermitted(String service) {
+        return endpoints.serving(service).stream().anyMatch(permits::maySend);
     }
 
-    int queueLength(String service) {
-        return queue(service).length();
+    void enqueue(RunningCall call) {
+        queue(call.service()).enqueue(call);
     }
 
     /** Returns the delay after which a caller refused for lack of capacity should retry. */
@@ -202,6 +254,7 @@
     void onSent(EndpointRecord endpoint) {
         loads.onSent(endpoint.id());
         quiet.onSent(endpoint.incarnation());
+        permits.onSent(endpoint);
     }
 
     /** Records that an attempt that was sent at {@code sentMillis} ended in any way. */
@@ -267,7 +320,12 @@
 
     /** Returns whether a call may be sent once more, which uses up part of the retry budget. */
     boolean tryRetry(String service) {
-        return unavailability(service).isEmpty() && retryBudget.tryRetry(service);
+        long permitMillis = permits.expectedWaitMillis(
+                        endpoints.serving(service), queue(service).length())
+                .orElse(0);
+        return permitMillis <= RunningCall.MAX_REQUEUE_WAIT_MILLIS
+                && unavailability(service).isEmpty()
+                && retryBudget.tryRetry(service);
     }
 
     long nextSequence() {
--- a/gateway/src/main/java/org/jasminehub/gateway/call/EndpointSelector.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/EndpointSelector.java
@@ -1,5 +1,6 @@
 package org.jasminehub.gateway.call;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -9,6 +10,7 @@
 import org.jasminehub.core.balance.GroupBackoff;
 import org.jasminehub.core.balance.QuietPeriods;
 import org.jasminehub.core.identity.EndpointId;
+import org.jasminehub.core.ratelimit.RatePermits;
 import org.jasminehub.core.serving.EndpointRecord;
 import org.jasminehub.core.serving.EngineProfile;
 import org.jasminehub.core.serving.ServiceProfile;
@@ -20,12 +22,16 @@
     /** Interval at which queued calls are reconsidered while endpoints are quiet or start slowly. */
     private static final long QUIET_TICK_MILLIS = 50;
 
+    /** Permits that a call requests at a time if no endpoint may take it now; the first may be a long time off. */
+    private static final int MAX_PERMIT_REQUESTS = 4;
+
     private final EndpointController endpoints;
     private final QuietPeriods quiet;
     private final EndpointLoads loads;
     private final EndpointChoicePolicy choicePolicy;
     private final GroupBackoff groupBackoff;
     private final ConcurrencyLimits concurrency;
+    private final RatePermits permits;
     private final DelayedRunner timer;
     private final Runnable dispatchQueued;
     private boolean isQuietTickDue;
@@ -42,6 +48,7 @@
             EndpointChoicePolicy choicePolicy,
             GroupBackoff groupBackoff,
             ConcurrencyLimits concurrency,
+            RatePermits permits,
             DelayedRunner timer,
             Runnable dispatchQueued) {
         this.endpoints = endpoints;
@@ -50,6 +57,7 @@
         this.choicePolicy = choicePolicy;
         this.groupBackoff = groupBackoff;
         this.concurrency = concurrency;
+        this.permits = permits;
         this.timer = timer;
         this.dispatchQueued = dispatchQueued;
     }
@@ -64,7 +72,37 @@
         ToDoubleFunction<EndpointId> maxCallsPerSlot = maxCallsPerSlot(call, queue, serving);
         List<EndpointRecord> candidates =
                 serving.stream().filter(this::isPastQuietPeriod).toList();
-        return choicePolicy.choose(candidates, call.triedEndpoints(), maxCallsPerSlot);
+        if (candidates.stream().noneMatch(permits::isLimited)) {
+            return choicePolicy.choose(candidates, call.triedEndpoints(), maxCallsPerSlot);
+        }
+        boolean hasEndpoint = choosePermitted(call, candidates, maxCallsPerSlot).isPresent();
+        requestPermits(call, candidates, maxCallsPerSlot, hasEndpoint ? 1 : MAX_PERMIT_REQUESTS);
+        return choosePermitted(call, candidates, maxCallsPerSlot);
+    }
+
+    private Optional<EndpointRecord> choosePermitted(
+            RunningCall call, List<EndpointRecord> candidates, ToDoubleFunction<EndpointId> maxCallsPerSlot) {
+        List<EndpointRecord> permitted =
+                candidates.stream().filter(permits::maySend).toList();
+        return choicePolicy.choose(permitted, call.triedEndpoints(), maxCallsPerSlot);
+    }
+
+    /** Requests permits for the endpoints that would be chosen without rate limits, up to the first that needs none. */
+    private void requestPermits(
+            RunningCall call,
+            List<EndpointRecord> candidates,
+            ToDoubleFunction<EndpointId> maxCallsPerSlot,
+            int maxRequests) {
+        List<EndpointRecord> wanted = new ArrayList<>(candidates);
+        wanted.removeIf(endpoint -> !permits.maySend(endpoint) && !permits.mayRequest(endpoint));
+        for (int requests = 0; requests < maxRequests; requests++) {
+            Optional<EndpointRecord> best = choicePolicy.choose(wanted, call.triedEndpoints(), maxCallsPerSlot);
+            if (best.isEmpty() || permits.maySend(best.get())) {
+                return;
+            }
+            permits.request(best.get());
+            wanted.remove(best.get());
+        }
     }
 
     private boolean isPastQuietPeriod(EndpointRecord endpoint) {
--- a/gateway/src/main/java/org/jasminehub/gateway/call/QueueWait.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/QueueWait.java
@@ -11,14 +11,17 @@
     private final Clock clock;
     private @Nullable ScheduledFuture<?> timer;
     private long startedMillis = NOT_WAITING;
+    private long endMillis;
     private long totalMillis;
 
     QueueWait(Clock clock) {
         this.clock = clock;
     }
 
-    void begin(ScheduledFuture<?> timeout) {
+    /** Begins a wait of at most {@code maxMillis}, which {@code timeout} ends. */
+    void begin(long maxMillis, ScheduledFuture<?> timeout) {
         startedMillis = clock.monotonicMillis();
+        endMillis = startedMillis + maxMillis;
         timer = timeout;
     }
 
@@ -34,6 +37,11 @@
         }
     }
 
+    /** Returns how much longer the current wait may last. */
+    long remainingMillis() {
+        return endMillis - clock.monotonicMillis();
+    }
+
     long totalMillis() {
         return totalMillis;
     }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
@@ -25,7 +25,7 @@
      * Longest time in the queue for a call that was already sent once; about the time an engine needs to finish a
      * stream.
      */
-    private static final long MAX_REQUEUE_WAIT_MILLIS = 1_500;
+    static final long MAX_REQUEUE_WAIT_MILLIS = 1_500;
 
     /** Delay before a retry after an engine refused a call; about one or two passes of a group. */
     private static final long REFUSAL_RETRY_DELAY_MILLIS = 150;
@@ -192,10 +192,10 @@
             maxWaitMillis = Math.min(remainingMillis(), MAX_REQUEUE_WAIT_MILLIS);
         }
         if (sends == 0 && !dispatcher.mayWait(this, maxWaitMillis)) {
-            onNoCapacity();
+            refuseForCapacity();
             return;
         }
-        queueWait.begin(dispatcher.after(maxWaitMillis, this::onNoCapacity));
+        queueWait.begin(maxWaitMillis, dispatcher.after(maxWaitMillis, this::refuseForCapacity));
         dispatcher.enqueue(this);
     }
 
@@ -210,14 +210,15 @@
         next.start();
     }
 
-    /** Refuses the call because no endpoint had capacity in time, or because the queue ahead of it is too long. */
-    private void onNoCapacity() {
+    /** Returns how much longer the call may stay in the queue. */
+    long remainingWaitMillis() {
+        return queueWait.remainingMillis();
+    }
+
+    /** Refuses the call because no endpoint has capacity in time, or because the queue ahead of it is too long. */
+    void refuseForCapacity() {
         if (!isDone) {
-            endWithRefusal(Refusal.retryable(
-                    ErrorCode.OVERLOADED,
-                    dispatcher.retryAfterMillis(service()),
-                    "no endpoint of " + service() + " had room in time; " + dispatcher.queueLength(service())
-                            + " calls in line"));
+            endWithRefusal(dispatcher.noCapacity(this));
         }
     }
 
@@ -230,7 +231,8 @@
     /** Returns whether the call could be retried if the current attempt were ended now. */
     boolean mayRetryAfterRun() {
         return CallRetryPolicy.mayRetry(route(), AttemptEnd.MAY_HAVE_RUN, runs + 1, sends, remainingMillis())
-                && dispatcher.unavailability(service()).isEmpty();
+                && dispatcher.unavailability(service()).isEmpty()
+                && dispatcher.isAnyPermitted(service());
     }
 
     /**
--- a/gateway/src/main/java/org/jasminehub/gateway/call/ServiceQueue.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/ServiceQueue.java
@@ -50,8 +50,13 @@
         calls.remove(call);
     }
 
+    /** Returns the number of queued calls that are dispatched before {@code call}. */
+    int ahead(RunningCall call) {
+        return calls.headSet(call).size();
+    }
+
     boolean mayWait(RunningCall call, long maxWaitMillis) {
-        return policy.mayWait(calls.headSet(call).size(), maxWaitMillis);
+        return policy.mayWait(ahead(call), maxWaitMillis);
     }
 
     long retryAfterMillis(double position) {
--- a/gateway/src/main/java/org/jasminehub/gateway/control/ControlEventKind.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/ControlEventKind.java
@@ -32,6 +32,8 @@
     /** An endpoint refused a request and asked to be sent nothing for some time. */
     ENDPOINT_QUIET(
             3512, Severity.WARNING, "An endpoint refuses requests and asks for none for the time that the line says."),
+    /** An endpoint limits the requests that it takes from all instances, changed its limit or ended it. */
+    ENDPOINT_LIMITED(3513, Severity.WARNING, "An endpoint states how many requests it takes, or no longer does."),
     /** The process has started. */
     PROCESS_STARTED(1500, Severity.INFO, "The process has started."),
     /** The process was asked to stop. */
--- a/gateway/src/main/java/org/jasminehub/gateway/control/EndpointMonitors.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/EndpointMonitors.java
@@ -2,13 +2,16 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Optional;
 import org.jasminehub.core.balance.QuietPeriods;
 import org.jasminehub.core.balance.QuietRequest;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
+import org.jasminehub.core.ratelimit.StatedRateLimit;
 import org.jasminehub.core.serving.EndpointIncarnation;
 import org.jasminehub.core.serving.EndpointRecord;
+import org.jasminehub.core.time.Clock;
 import org.jasminehub.gateway.net.ExchangeMonitor;
 import org.jasminehub.platform.hosted.ResponseHeaders;
 import org.jasminehub.platform.hosted.ResponseHeadersAdapter;
@@ -21,13 +24,22 @@
 public final class EndpointMonitors {
     private final EndpointController endpoints;
     private final QuietPeriods quiet;
+    private final RateLimitObserver rateLimits;
+    private final Clock clock;
     private final EventSink events;
     private long withheld;
 
-    /** Creates monitors that report to {@code endpoints} and {@code quiet}. */
-    public EndpointMonitors(EndpointController endpoints, QuietPeriods quiet, EventSink events) {
+    /** Creates monitors that report to {@code endpoints}, {@code quiet} and {@code rateLimits}. */
+    public EndpointMonitors(
+            EndpointController endpoints,
+            QuietPeriods quiet,
+            RateLimitObserver rateLimits,
+            Clock clock,
+            EventSink events) {
         this.endpoints = endpoints;
         this.quiet = quiet;
+        this.rateLimits = rateLimits;
+        this.clock = clock;
         this.events = events;
     }
 
@@ -41,8 +53,9 @@
         return withheld;
     }
 
-    /** Returns the monitor of a caller's request to {@code endpoint}. */
+    /** Returns the monitor of a caller's request that is sent to {@code endpoint} now. */
     public ExchangeMonitor forCall(EndpointRecord endpoint) {
+        long sentMillis = clock.monotonicMillis();
         return new ExchangeMonitor() {
             @Override
             public boolean maySend() {
@@ -51,7 +64,7 @@
 
             @Override
             public void onHead(HttpResponseStatus status, HttpHeaders headers) {
-                observe(endpoint.incarnation(), status, headers);
+                observe(endpoint.incarnation(), sentMillis, status, headers);
             }
         };
     }
@@ -69,7 +82,8 @@
 
             @Override
             public void onHead(HttpResponseStatus status, HttpHeaders headers) {
-                observe(endpoint.incarnation(), status, headers);
+                // The monitor is used for many requests, so it is not known when the one of this response was sent.
+                observe(endpoint.incarnation(), Long.MIN_VALUE, status, headers);
             }
         };
     }
@@ -79,8 +93,13 @@
         return false;
     }
 
-    private void observe(EndpointIncarnation expected, HttpResponseStatus status, HttpHeaders headers) {
+    private void observe(
+            EndpointIncarnation expected, long sentMillis, HttpResponseStatus status, HttpHeaders headers) {
+        if (status.codeClass() == HttpStatusClass.INFORMATIONAL) {
+            return;
+        }
         ResponseHeaders parsed = ResponseHeadersAdapter.decode(status, headers);
+        respondent(expected, status, parsed).ifPresent(endpoint -> onRateLimit(endpoint, sentMillis, parsed));
         QuietRequest request = parsed.quietRequest();
         if (request != null) {
             respondent(expected, status, parsed).ifPresent(endpoint -> onQuietRequested(endpoint, request));
@@ -92,6 +111,21 @@
         }
     }
 
+    private void onRateLimit(EndpointIncarnation endpoint, long sentMillis, ResponseHeaders parsed) {
+        StatedRateLimit limit = parsed.rateLimit();
+        if (limit != null) {
+            rateLimits.onStated(endpoint, limit);
+        } else if (parsed.malformedRateLimit() != null) {
+            events.emit(new ControlEvent(
+                    ControlEventKind.RECORD_REJECTED,
+                    endpoint.id().value(),
+                    "a response states the malformed rate limit " + parsed.malformedRateLimit(),
+                    0));
+        } else {
+            rateLimits.onNoneStated(endpoint, sentMillis);
+        }
+    }
+
     private void onQuietRequested(EndpointIncarnation endpoint, QuietRequest request) {
         if (quiet.onRequested(endpoint, request.periodMillis())) {
             events.emit(new ControlEvent(
--- a/gateway/src/main/java/org/jasminehub/gateway/control/PeerExchange.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/PeerExchange.java
@@ -24,7 +24,6 @@
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.gateway.net.EndpointAddress;
 import org.jasminehub.gateway.peer.PeerConnection;
-import org.jasminehub.gateway.peer.PeerLink;
 import org.jasminehub.gateway.peer.PeerListener;
 import org.jasminehub.wire.generated.ConfigurationCopy;
 import org.jasminehub.wire.generated.EndpointCalls;
@@ -70,12 +69,10 @@
     private final EraTracker eras;
     private final EndpointLoads loads;
     private final BooleanSupplier acceptsCallers;
-    private final List<EndpointAddress> seeds;
-    private final EventLoop loop;
     private final DelayedRunner timer;
     private final Clock clock;
     private final EventSink events;
-    private final Map<EndpointAddress, PeerLink> links = new HashMap<>();
+    private final PeerLinks links;
     private final Map<String, PeerState> peers = new TreeMap<>();
     private final TreeMap<Long, StateAge.ClockReading> sentAtByToken = new TreeMap<>();
     private final StateAge clockReadings;
@@ -108,8 +105,7 @@
         this.eras = eras;
         this.loads = loads;
         this.acceptsCallers = acceptsCallers;
-        this.seeds = List.copyOf(seeds);
-        this.loop = loop;
+        this.links = new PeerLinks(loop, seeds, this);
         this.timer = timer;
         this.clock = clock;
         this.events = events;
@@ -128,7 +124,15 @@
 
     /** Sends {@code message} to all connected peers. */
     public void broadcast(PeerEnvelope message) {
-        links.values().forEach(link -> link.send(message));
+        links.broadcast(message);
+    }
+
+    /** Sends {@code message} to the peer {@code instance} if it is connected. */
+    public void send(String instance, PeerEnvelope message) {
+        PeerState peer = peers.get(instance);
+        if (peer != null) {
+            links.send(peer.instance(), message);
+        }
     }
 
     /** Starts the exchange; {@code loadsChanged} runs after each status received from a peer. */
@@ -140,25 +144,7 @@
 
     /** Connects to the registered instances, or to the seeds while none is registered. */
     public void onDirectoryChanged() {
-        Set<EndpointAddress> wanted = new HashSet<>();
-        for (InstanceRecord entry : directory.entries()) {
-            wanted.add(new EndpointAddress(entry.getHost(), entry.getPeerPort()));
-        }
-        if (wanted.isEmpty()) {
-            wanted.addAll(seeds);
-        }
-        InstanceRecord self = registration.self();
-        wanted.remove(new EndpointAddress(self.getHost(), self.getPeerPort()));
-        for (EndpointAddress address : wanted) {
-            links.computeIfAbsent(address, each -> new PeerLink(loop, each, this));
-        }
-        links.entrySet().removeIf(link -> {
-            boolean isUnwanted = !wanted.contains(link.getKey());
-            if (isUnwanted) {
-                link.getValue().close();
-            }
-            return isUnwanted;
-        });
+        links.connect(directory.entries(), registration.self());
     }
 
     /**
@@ -205,6 +191,28 @@
         return isInformed;
     }
 
+    /** Returns the entry instances that sent a status recently, and this one. */
+    public List<PeerState> liveInstances() {
+        long nowMillis = clock.monotonicMillis();
+        String self = registration.self().getInstance();
+        List<PeerState> live = new ArrayList<>();
+        live.add(new PeerState(registration.self(), acceptsCallers.getAsBoolean(), nowMillis));
+        peers.forEach((name, peer) -> {
+            if (!name.equals(self) && nowMillis - peer.lastSeenMillis() < PEER_TIMEOUT_MILLIS) {
+                live.add(peer);
+            }
+        });
+        return live;
+    }
+
+    /** Returns how many entry instances are registered or live, including this one. */
+    public int knownInstances() {
+        Set<String> names = new HashSet<>();
+        liveInstances().forEach(each -> names.add(each.instance().getInstance()));
+        directory.entries().forEach(entry -> names.add(entry.getInstance()));
+        return names.size();
+    }
+
     /** Returns an upper bound for the number of live entry instances, including this one. */
     public int maxInstances() {
         Set<String> names = new HashSet<>(peers.keySet());
--- a/gateway/src/test/java/org/jasminehub/gateway/ExceededRateLimitTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/ExceededRateLimitTest.java
@@ -4,9 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import org.jasminehub.gateway.control.ControlEventKind;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -72,6 +74,55 @@
                 limited.requests() + " requests in " + elapsedMillis + " ms");
     }
 
+    @Test
+    void testTheLimitIsNotExceededWhileTheStoreIsAway() throws Exception {
+        gateways.get(0).store().setDown(true);
+        long startedMillis = gateways.get(0).clock().monotonicMillis();
+        for (int number = 0; number < CALLS; number++) {
+            call(number, "/hasty/x");
+        }
+
+        assertWithinLimit(startedMillis);
+    }
+
+    @Test
+    void testAnInstanceRespectsALimitThatOnlyItsPeerHasSeen() throws Exception {
+        call(0, "/hasty/x");
+
+        gateways.forEach(gateway -> gateway.awaitEvent(ControlEventKind.ENDPOINT_LIMITED, "e-1"));
+
+        gateways.forEach(gateway -> assertEquals(1, gateway.gauge("endpoints.limited")));
+    }
+
+    @Test
+    void testAllCallsAreServedAfterTheLimitHasEnded() throws Exception {
+        call(0, "/hasty/x");
+        gateways.forEach(gateway -> gateway.awaitEvent(ControlEventKind.ENDPOINT_LIMITED, "e-1"));
+        limited.setLimit("");
+        GatewayHarness.await(() -> {
+            try {
+                call(1, "/hasty/x");
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+            return gateways.stream().allMatch(gateway -> gateway.gauge("endpoints.limited") == 0);
+        });
+
+        for (int number = 0; number < CALLS; number++) {
+            assertTrue(call(number, "/hasty/x").startsWith("HTTP/1.1 200"));
+        }
+    }
+
+    @Test
+    void testAMalformedLimitIsIgnoredAndLogged() throws Exception {
+        limited.setLimit("many");
+
+        for (int number = 0; number < CALLS; number++) {
+            assertTrue(call(number, "/hasty/x").startsWith("HTTP/1.1 200"));
+        }
+        gateways.get(0).awaitEvent(ControlEventKind.RECORD_REJECTED, "e-1");
+    }
+
     @Test
     void testInstancesTogetherDoNotExceedTheLimitOfTheOnlyEndpoint() throws Exception {
         long startedMillis = gateways.get(0).clock().monotonicMillis();
