--- a/gateway/src/test/java/org/jasminehub/gateway/CrashingEndpoint.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/CrashingEndpoint.java
@@ -5,17 +5,18 @@
 import java.util.ArrayDeque;
 import java.util.Queue;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Predicate;
 
-/** An endpoint that streams three events, and that crashes when it begins to write on a prompt with a given part. */
+/** An endpoint that serves three events, and that crashes when it begins to work on a request of a given kind. */
 final class CrashingEndpoint implements AutoCloseable {
     private static final String EVENT = "id: %d\ndata: x\n\n";
 
-    private final String badPart;
+    private final Predicate<ScriptedEndpoint.Request> isBad;
     private final ScriptedEndpoint endpoint;
     private final AtomicBoolean isCrashed = new AtomicBoolean();
 
-    CrashingEndpoint(String badPart) throws IOException {
-        this.badPart = badPart;
+    CrashingEndpoint(Predicate<ScriptedEndpoint.Request> isBad) throws IOException {
+        this.isBad = isBad;
         this.endpoint = new ScriptedEndpoint(always(this::answer));
     }
 
@@ -29,7 +30,7 @@
     }
 
     private boolean answer(ScriptedEndpoint.Request request, Socket socket) throws IOException {
-        if (request.header("x-prompt-prefix").contains(badPart) && isCrashed.compareAndSet(false, true)) {
+        if (isBad.test(request) && isCrashed.compareAndSet(false, true)) {
             endpoint.close();
         }
         if (isCrashed.get()) {
@@ -51,11 +52,9 @@
         return isCrashed.get();
     }
 
-    /** Returns how many requests with the bad part have reached the endpoint. */
+    /** Returns how many requests that crash endpoints have reached this one. */
     long badRequests() {
-        return endpoint.requests().stream()
-                .filter(request -> request.header("x-prompt-prefix").contains(badPart))
-                .count();
+        return endpoint.requests().stream().filter(isBad).count();
     }
 
     @Override
--- a/gateway/src/test/java/org/jasminehub/gateway/CrashingPromptTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/CrashingPromptTest.java
@@ -27,7 +27,8 @@
     @BeforeEach
     void startEndpoints() throws IOException {
         for (int index = 0; index < ENDPOINTS; index++) {
-            endpoints.add(new CrashingEndpoint(BAD_PART));
+            endpoints.add(new CrashingEndpoint(
+                    request -> request.header("x-prompt-prefix").contains(BAD_PART)));
         }
     }
 
