Requests that crash endpoints are held back by their digest

Cause: the quarantine follows parts of prompts, and the inspection of an endpoint that cut a call was skipped for calls without such parts. Nothing connected the crashes of a plain request, and no log line showed that it was the same one. Class of fault: protection that hangs on an optional attribute of a request, not on the request itself.

Every call has a digest of method, host, path, workspace, prompt parts and body. Crashes are reported with the digests of the calls that waited there; after three, counted over all instances, the request is refused for 2 min by all of them, and after its second crash it is not repeated. Verdicts go to peers and into the log of instances, as for prompts. CallIdentity takes over from CallPrompt; crash reports carry their age, so that a peer that connects later counts them at the right time.

Ruled out: load of returning calls (openCalls 0 to 2 of 18 at the ends), lost reports (none was sent). Server errors do not clear a request: the record shows endpoints that answer 500 and survive.

Evidence: the five tests of RepeatedCrashingRequestTest failed before (12 of 12 endpoints crashed) and pass now, as do CrashingPromptTest and 13 tests of RequestQuarantineTest.

--- a/core/src/main/java/org/jasminehub/core/error/ErrorCode.java
+++ b/core/src/main/java/org/jasminehub/core/error/ErrorCode.java
@@ -50,6 +50,8 @@
     NO_ENDPOINT("no-endpoint", 503),
     /** Calls with a part of this prompt crashed several endpoints and are held back. */
     PROMPT_QUARANTINED("prompt-quarantined", 503),
+    /** This request crashed several endpoints and is held back. */
+    REQUEST_QUARANTINED("request-quarantined", 503),
     /** All endpoints that serve the route refused requests and asked to be sent none for some time. */
     ENDPOINTS_QUIET("endpoints-quiet", 503),
     /** All endpoints that serve the route limit the requests that they take, and other calls use up the limits. */
--- a/core/src/main/java/org/jasminehub/core/quarantine/EndpointCrash.java
+++ b/core/src/main/java/org/jasminehub/core/quarantine/EndpointCrash.java
@@ -9,8 +9,10 @@
  * @param endpoint the endpoint that crashed
  * @param startedWallMillis when the endpoint had started, which identifies its run
  * @param suspects the calls of the reporting instance that waited for their first output there
+ * @param observedAgeMillis the time since the reporting instance observed the crash
  */
-public record EndpointCrash(EndpointId endpoint, long startedWallMillis, List<CrashSuspect> suspects) {
+public record EndpointCrash(
+        EndpointId endpoint, long startedWallMillis, List<CrashSuspect> suspects, long observedAgeMillis) {
     /** Creates a report; copies {@code suspects}. */
     public EndpointCrash {
         suspects = List.copyOf(suspects);
--- a/core/src/test/java/org/jasminehub/core/quarantine/PromptQuarantineTest.java
+++ b/core/src/test/java/org/jasminehub/core/quarantine/PromptQuarantineTest.java
@@ -28,12 +28,12 @@
     }
 
     private static CrashSuspect call(String request, String... parts) {
-        return new CrashSuspect(request, Set.of(parts));
+        return new CrashSuspect(request, Set.of(parts), "", 0);
     }
 
     private Set<PartCombination> crash(CrashSuspect... suspects) {
         clock.advanceMillis(1_000);
-        return quarantine.onCrash(new EndpointCrash(new EndpointId("e-" + endpoints++), 1, List.of(suspects)));
+        return quarantine.onCrash(new EndpointCrash(new EndpointId("e-" + endpoints++), 1, List.of(suspects), 0));
     }
 
     private void output(String... parts) {
@@ -90,7 +90,7 @@
         @Test
         void testSeveralReportsOfOneCrashCountOnce() {
             for (int report = 0; report < 5; report++) {
-                quarantine.onCrash(new EndpointCrash(new EndpointId("e"), 1, List.of(call("r-" + report, BAD))));
+                quarantine.onCrash(new EndpointCrash(new EndpointId("e"), 1, List.of(call("r-" + report, BAD)), 0));
             }
             assertEquals(Set.of(), quarantine.quarantined());
         }
@@ -148,7 +148,7 @@
                         suspects.add(call("r-" + random.nextInt(), COMMON, "s-" + random.nextInt(SUBJECTS)));
                     }
                     clock.advanceMillis(1_000);
-                    simulated.onCrash(new EndpointCrash(new EndpointId("e-" + seed + "-" + crashes), 1, suspects));
+                    simulated.onCrash(new EndpointCrash(new EndpointId("e-" + seed + "-" + crashes), 1, suspects, 0));
                     crashes++;
                 }
                 assertEquals(Set.of(only(BAD)), simulated.quarantined(), "seed " + seed);
--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -236,6 +236,7 @@
                 "ready", (Gauge<Integer>) () -> isReady ? 1 : 0);
         gauges.forEach(metrics::register);
         rateLimits.register(metrics);
+        quarantine.register(metrics);
         return new MetricsHandler(metrics);
     }
 
--- a/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
@@ -174,7 +174,7 @@
         call.onOutput();
         events++;
         if (events == EVENTS_OF_SOUND_PROMPT) {
-            call.dispatcher().quarantine().onOutput(call.prompt().sharedParts());
+            call.identity().onOutput();
         }
         if (call.route().mayRetry()) {
             scheduleTimeout(EVENT_TIMEOUT_MILLIS, "no stream event within " + EVENT_TIMEOUT_MILLIS + " ms");
@@ -242,7 +242,7 @@
      * have crashed the endpoint, which must be known before the call is retried.
      */
     void failCut(String reason) {
-        if (call.hasOutput() || call.prompt().sharedParts().isEmpty()) {
+        if (call.hasOutput()) {
             fail(AttemptEnd.MAY_HAVE_RUN, reason);
         } else if (close()) {
             call.dispatcher().onAttemptFailed(endpoint, AttemptEnd.MAY_HAVE_RUN);
@@ -250,7 +250,7 @@
                     .quarantine()
                     .inspect(
                             endpoint,
-                            call.prompt().asCrashSuspect(),
+                            call.identity().asCrashSuspect(elapsedMillis()),
                             () -> call.onAttemptFailed(
                                     this, AttemptEnd.MAY_HAVE_RUN, reason, () -> deliverFailure(reason)));
         }
@@ -264,8 +264,9 @@
     void succeed(int status) {
         if (close()) {
             if (HttpStatusClass.SUCCESS.contains(status)) {
-                call.dispatcher().quarantine().onOutput(call.prompt().sharedParts());
+                call.identity().onOutput();
             }
+            call.identity().onCompleted(status);
             call.dispatcher().onAttemptServed(call.service(), endpoint.id());
             call.onServed(status);
         }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
@@ -10,7 +10,6 @@
 import org.jasminehub.core.balance.CallRetryPolicy;
 import org.jasminehub.core.error.ErrorCode;
 import org.jasminehub.core.identity.EndpointId;
-import org.jasminehub.core.quarantine.PartCombination;
 import org.jasminehub.core.serving.EndpointRecord;
 import org.jasminehub.core.serving.Route;
 import org.jasminehub.core.serving.ServiceProfile;
@@ -38,7 +37,7 @@
     private final long sequence;
     private final QueueWait queueWait;
     private final Set<EndpointId> triedEndpoints = new HashSet<>();
-    private CallPrompt prompt = CallPrompt.of(null);
+    private final CallIdentity identity;
     private String service = "";
     private @Nullable Attempt attempt;
     private @Nullable ScheduledFuture<?> deadlineTimer;
@@ -57,12 +56,12 @@
         this.dispatcher = dispatcher;
         this.sequence = dispatcher.nextSequence();
         this.queueWait = new QueueWait(dispatcher.clock());
+        this.identity = new CallIdentity(context, dispatcher.quarantine());
     }
 
     /** Dispatches the call; its context must have passed all filters. */
     void start() {
         lastEventId = context.headers == null ? null : context.headers.lastEventId();
-        prompt = CallPrompt.of(context.headers);
         deadlineTimer = dispatcher.after(remainingMillis(), this::onDeadline);
         dispatch();
     }
@@ -121,8 +120,8 @@
         return CallQueuePolicy.isCallerRetry(route(), context.timeLimitMillis());
     }
 
-    CallPrompt prompt() {
-        return prompt;
+    CallIdentity identity() {
+        return identity;
     }
 
     long remainingMillis() {
@@ -158,12 +157,11 @@
         hasOutput = true;
     }
 
-    /** Refuses the call if its prompt is quarantined; returns whether it did. */
+    /** Refuses the call if it is quarantined; returns whether it did. */
     private boolean refuseIfQuarantined() {
-        Optional<PartCombination> part = dispatcher.quarantine().findQuarantined(prompt.sharedParts());
-        part.ifPresent(found -> endWithRefusal(
-                Refusal.quarantined(found.toString(), dispatcher.quarantine().remainingMillis(found))));
-        return part.isPresent();
+        Optional<Refusal> refusal = identity.refusal();
+        refusal.ifPresent(this::endWithRefusal);
+        return refusal.isPresent();
     }
 
     void endIfQuarantined() {
@@ -244,7 +242,7 @@
         }
         runs += end.isNotRun() ? 0 : 1;
         boolean isRetried = CallRetryPolicy.mayRetry(route(), end, runs, sends, remainingMillis())
-                && !dispatcher.quarantine().isSuspected(prompt.sharedParts())
+                && !identity.isSuspected()
                 && dispatcher.tryRetry(service());
         dispatcher
                 .events()
@@ -257,7 +255,7 @@
                         lastEventId == null ? -1 : lastEventId,
                         failed.elapsedMillis(),
                         isRetried,
-                        prompt.sharedParts()));
+                        identity.sharedParts()));
         attempt = null;
         ServiceProfile serviceProfile = profile();
         if (isRetried && end == AttemptEnd.NOT_RUN && serviceProfile != null && serviceProfile.engine() != null) {
--- a/gateway/src/main/java/org/jasminehub/gateway/control/InstanceDirectory.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/InstanceDirectory.java
@@ -94,8 +94,8 @@
                 .toList();
     }
 
-    /** Returns the recorded quarantined parts of prompts with the end of their quarantine in wall-clock time. */
-    public Map<String, Long> quarantinedParts() {
+    /** Returns the texts of the recorded quarantines with their end in wall-clock time. */
+    public Map<String, Long> quarantines() {
         return Map.copyOf(quarantinedUntilWallMillis);
     }
 
--- a/gateway/src/main/java/org/jasminehub/gateway/quarantine/CrashInspector.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/quarantine/CrashInspector.java
@@ -43,7 +43,7 @@
         client.checkListening(new EndpointAddress(endpoint.host(), endpoint.port()), isListening -> {
             inspections.remove(endpoint.id());
             if (!isListening) {
-                onCrash.accept(new EndpointCrash(endpoint.id(), endpoint.startedWallMillis(), started.suspects()));
+                onCrash.accept(new EndpointCrash(endpoint.id(), endpoint.startedWallMillis(), started.suspects(), 0));
             }
             started.continuations().forEach(Runnable::run);
         });
--- a/gateway/src/main/java/org/jasminehub/gateway/quarantine/CrashReportConverter.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/quarantine/CrashReportConverter.java
@@ -12,13 +12,18 @@
 final class CrashReportConverter {
     private CrashReportConverter() {}
 
-    static EndpointCrashReport encode(EndpointCrash crash) {
+    /** Encodes a report that is sent {@code ageMillis} after the crash was observed. */
+    static EndpointCrashReport encode(EndpointCrash crash, long ageMillis) {
         EndpointCrashReport.Builder report = EndpointCrashReport.newBuilder()
                 .setEndpoint(crash.endpoint().value())
-                .setStartedWallMillis(crash.startedWallMillis());
+                .setStartedWallMillis(crash.startedWallMillis())
+                .setObservedAgeMillis(ageMillis);
         crash.suspects()
-                .forEach(suspect -> report.addSuspects(
-                        CrashSuspect.newBuilder().setRequest(suspect.request()).addAllParts(suspect.parts())));
+                .forEach(suspect -> report.addSuspects(CrashSuspect.newBuilder()
+                        .setRequest(suspect.request())
+                        .addAllParts(suspect.parts())
+                        .setDigest(suspect.digest())
+                        .setSentAgeMillis(suspect.sentAgeMillis())));
         return report.build();
     }
 
@@ -28,11 +33,17 @@
             return Optional.empty();
         }
         List<org.jasminehub.core.quarantine.CrashSuspect> suspects = report.getSuspectsList().stream()
-                .filter(suspect -> !suspect.getRequest().isBlank())
+                .filter(suspect -> !suspect.getRequest().isBlank() && suspect.getSentAgeMillis() >= 0)
                 .map(suspect -> new org.jasminehub.core.quarantine.CrashSuspect(
-                        suspect.getRequest(), Set.copyOf(suspect.getPartsList())))
+                        suspect.getRequest(),
+                        Set.copyOf(suspect.getPartsList()),
+                        suspect.getDigest(),
+                        suspect.getSentAgeMillis()))
                 .toList();
-        return Optional.of(
-                new EndpointCrash(new EndpointId(report.getEndpoint()), report.getStartedWallMillis(), suspects));
+        return Optional.of(new EndpointCrash(
+                new EndpointId(report.getEndpoint()),
+                report.getStartedWallMillis(),
+                suspects,
+                Math.max(0, report.getObservedAgeMillis())));
     }
 }
--- a/gateway/src/main/java/org/jasminehub/gateway/quarantine/QuarantineController.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/quarantine/QuarantineController.java
@@ -1,8 +1,11 @@
 package org.jasminehub.gateway.quarantine;
 
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -20,12 +23,12 @@
 import org.jasminehub.gateway.control.PeerExtension;
 import org.jasminehub.gateway.net.EndpointClient;
 import org.jasminehub.platform.hosted.StoreClient;
-import org.jasminehub.wire.generated.EndpointCrashReport;
 import org.jasminehub.wire.generated.PeerEnvelope;
 import org.jasminehub.wire.generated.PromptPartVerdict;
 
 /**
- * Holds back calls whose prompts crash endpoints, on the evidence of all instances.
+ * Holds back calls that crash endpoints, on the evidence of all instances: by parts of their prompts, and by the digests of
+ * whole requests.
  *
  * <p>Each instance sees only some of the crashes, so crashes and verdicts are sent to all peers at once. Verdicts are
  * also kept in the store.
@@ -34,7 +37,14 @@
  */
 public final class QuarantineController implements PeerExtension {
     /** Crash reports sent again to a peer that connects, as it may have missed them. */
-    private static final int MAX_RECENT_REPORTS = 16;
+    private static final int MAX_RECENT_CRASHES = 16;
+
+    /** Begins the texts under which the store keeps quarantined requests; parts of prompts contain no colons. */
+    private static final String REQUEST_PREFIX = "request:";
+
+    private static final String RECORDED = "recorded in the store";
+
+    private record ObservedCrash(EndpointCrash crash, long observedMillis) {}
 
     private final PromptQuarantine quarantine;
     private final CrashInspector inspector;
@@ -43,7 +53,8 @@
     private final PeerExchange peers;
     private final Clock clock;
     private final EventSink events;
-    private final Deque<EndpointCrashReport> recentReports = new ArrayDeque<>();
+    private final RequestQuarantineController requests;
+    private final Deque<ObservedCrash> recentCrashes = new ArrayDeque<>();
     private Runnable onQuarantined = () -> {};
 
     /** Creates a controller without quarantined parts. */
@@ -58,13 +69,47 @@
             EventSink events) {
         this.quarantine = new PromptQuarantine(clock);
         this.inspector = new CrashInspector(client, this::onOwnCrash);
-        this.records = new QuarantineRecords(store, directory, quarantine, timer, random, clock, events);
+        this.records = new QuarantineRecords(store, directory, newTerms(), timer, random, clock, events);
+        this.requests = new RequestQuarantineController(
+                peers, clock, events, () -> this.records.update(), () -> this.onQuarantined.run());
         this.directory = directory;
         this.peers = peers;
         this.clock = clock;
         this.events = events;
     }
 
+    private QuarantineTerms newTerms() {
+        return new QuarantineTerms() {
+            @Override
+            public Set<String> quarantined() {
+                Set<String> texts = new HashSet<>();
+                quarantine.quarantined().forEach(parts -> texts.add(parts.toString()));
+                requests.quarantined().forEach(digest -> texts.add(REQUEST_PREFIX + digest));
+                return texts;
+            }
+
+            @Override
+            public long remainingMillis(String text) {
+                return text.startsWith(REQUEST_PREFIX)
+                        ? requests.remainingMillis(text.substring(REQUEST_PREFIX.length()))
+                        : quarantine.remainingMillis(PartCombination.parse(text));
+            }
+        };
+    }
+
+    /** Registers the numbers of quarantined combinations of parts and of quarantined requests. */
+    public void register(MetricRegistry metrics) {
+        metrics.register("prompts.quarantined", (Gauge<Integer>)
+                () -> quarantine.quarantined().size());
+        metrics.register("requests.quarantined", (Gauge<Integer>)
+                () -> requests.quarantined().size());
+    }
+
+    /** Returns the quarantine of whole requests. */
+    public RequestQuarantineController requests() {
+        return requests;
+    }
+
     /** Starts to exchange reports with peers; {@code quarantined} runs after each part that is quarantined. */
     public void start(Runnable quarantined) {
         onQuarantined = quarantined;
@@ -111,25 +156,35 @@
 
     /** Applies the quarantined parts that the store shows. */
     public void onDirectoryChanged() {
-        directory.quarantinedParts().forEach((parts, untilWallMillis) -> {
+        directory.quarantines().forEach((text, untilWallMillis) -> {
             long remainingMillis = untilWallMillis - clock.wallMillis();
+            if (text.startsWith(REQUEST_PREFIX)) {
+                requests.adopt(text.substring(REQUEST_PREFIX.length()), remainingMillis, RECORDED);
+                return;
+            }
             long ageMillis = Math.max(0, PromptQuarantine.QUARANTINE_MILLIS - remainingMillis);
-            adopt(PartCombination.parse(parts), remainingMillis, ageMillis, "recorded in the store");
+            adopt(PartCombination.parse(text), remainingMillis, ageMillis, RECORDED);
         });
     }
 
     private void onOwnCrash(EndpointCrash crash) {
-        EndpointCrashReport report = CrashReportConverter.encode(crash);
-        recentReports.addLast(report);
-        if (recentReports.size() > MAX_RECENT_REPORTS) {
-            recentReports.removeFirst();
+        recentCrashes.addLast(new ObservedCrash(crash, clock.monotonicMillis()));
+        if (recentCrashes.size() > MAX_RECENT_CRASHES) {
+            recentCrashes.removeFirst();
         }
-        peers.broadcast(PeerEnvelope.newBuilder().setEndpointCrashReport(report).build());
+        peers.broadcast(report(crash, 0));
         emit(QuarantineEventKind.ENDPOINT_CRASHED, crash.endpoint().value(), "suspects " + crash.suspects());
         apply(crash);
     }
 
+    private static PeerEnvelope report(EndpointCrash crash, long ageMillis) {
+        return PeerEnvelope.newBuilder()
+                .setEndpointCrashReport(CrashReportConverter.encode(crash, ageMillis))
+                .build();
+    }
+
     private void apply(EndpointCrash crash) {
+        requests.apply(crash);
         Set<PartCombination> blamed = quarantine.onCrash(crash);
         for (PartCombination combination : blamed) {
             emit(
@@ -174,8 +229,9 @@
 
     @Override
     public void onPeerConnected(Consumer<PeerEnvelope> send) {
-        recentReports.forEach(report -> send.accept(
-                PeerEnvelope.newBuilder().setEndpointCrashReport(report).build()));
+        recentCrashes.forEach(
+                each -> send.accept(report(each.crash(), clock.monotonicMillis() - each.observedMillis())));
+        requests.sendVerdicts(send);
         quarantine.quarantined().forEach(combination -> send.accept(verdict(combination)));
     }
 
@@ -183,6 +239,8 @@
     public void onPeerMessage(PeerEnvelope message) {
         if (message.hasEndpointCrashReport()) {
             CrashReportConverter.decode(message.getEndpointCrashReport()).ifPresent(this::apply);
+        } else if (message.hasRequestVerdict()) {
+            requests.onPeerVerdict(message.getRequestVerdict());
         } else if (message.hasPromptPartVerdict()
                 && !message.getPromptPartVerdict().getParts().isBlank()) {
             onVerdict(message.getPromptPartVerdict());
--- a/gateway/src/main/java/org/jasminehub/gateway/quarantine/QuarantineEventKind.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/quarantine/QuarantineEventKind.java
@@ -10,7 +10,11 @@
     /** Calls with a part of a prompt are refused from now on. */
     PART_QUARANTINED(5601, Severity.WARNING, "Calls with a part of a prompt are refused because they crash endpoints."),
     /** A call with a part of a prompt produced output, so calls with it are accepted. */
-    PART_CLEARED(5602, Severity.INFO, "A part of a prompt does not crash endpoints; calls with it are accepted.");
+    PART_CLEARED(5602, Severity.INFO, "A part of a prompt does not crash endpoints; calls with it are accepted."),
+    /** A request is refused from now on. */
+    REQUEST_QUARANTINED(5603, Severity.WARNING, "A request is refused because it crashes endpoints."),
+    /** A request got a complete response, so it is accepted. */
+    REQUEST_CLEARED(5604, Severity.INFO, "A request does not crash endpoints; it is accepted.");
 
     private final int number;
     private final Severity severity;
--- a/gateway/src/main/java/org/jasminehub/gateway/quarantine/QuarantineRecords.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/quarantine/QuarantineRecords.java
@@ -4,8 +4,6 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.jasminehub.core.event.EventSink;
-import org.jasminehub.core.quarantine.PartCombination;
-import org.jasminehub.core.quarantine.PromptQuarantine;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.gateway.control.ControlEvent;
 import org.jasminehub.gateway.control.ControlEventKind;
@@ -16,7 +14,7 @@
 import org.jasminehub.wire.generated.QuarantinedParts;
 
 /**
- * Keeps the quarantined parts in the store, so that they outlive all processes. The log of instances is used because all
+ * Keeps the quarantines in the store, so that they outlive all processes. The log of instances is used because all
  * instances follow it already.
  *
  * <p>Must be used on the process's event loop only.
@@ -30,7 +28,7 @@
 
     private final StoreClient store;
     private final InstanceDirectory directory;
-    private final PromptQuarantine quarantine;
+    private final QuarantineTerms terms;
     private final DelayedRunner timer;
     private final RandomGenerator random;
     private final Clock clock;
@@ -40,14 +38,14 @@
     QuarantineRecords(
             StoreClient store,
             InstanceDirectory directory,
-            PromptQuarantine quarantine,
+            QuarantineTerms terms,
             DelayedRunner timer,
             RandomGenerator random,
             Clock clock,
             EventSink events) {
         this.store = store;
         this.directory = directory;
-        this.quarantine = quarantine;
+        this.terms = terms;
         this.timer = timer;
         this.random = random;
         this.clock = clock;
@@ -56,24 +54,24 @@
 
     /** Makes the store agree with the quarantine soon, unless another instance does so before. */
     void update() {
-        Set<String> changed = new HashSet<>(directory.quarantinedParts().keySet());
-        quarantine.quarantined().forEach(each -> {
-            if (!changed.remove(each.toString())) {
-                changed.add(each.toString());
+        Set<String> changed = new HashSet<>(directory.quarantines().keySet());
+        terms.quarantined().forEach(text -> {
+            if (!changed.remove(text)) {
+                changed.add(text);
             }
         });
-        for (String parts : changed) {
-            if (pending.add(parts)) {
-                timer.runAfter(random.nextLong(APPEND_SPREAD_MILLIS), () -> write(parts));
+        for (String text : changed) {
+            if (pending.add(text)) {
+                timer.runAfter(random.nextLong(APPEND_SPREAD_MILLIS), () -> write(text));
             }
         }
     }
 
-    private void write(String parts) {
-        long remainingMillis = quarantine.remainingMillis(PartCombination.parse(parts));
+    private void write(String text) {
+        long remainingMillis = terms.remainingMillis(text);
         boolean isQuarantined = remainingMillis > 0;
-        if (isQuarantined == directory.quarantinedParts().containsKey(parts)) {
-            pending.remove(parts);
+        if (isQuarantined == directory.quarantines().containsKey(text)) {
+            pending.remove(text);
             return;
         }
         QuarantinedParts entry = QuarantinedParts.newBuilder()
@@ -81,20 +79,20 @@
                 .build();
         store.append(
                         StoreTopic.INSTANCES,
-                        InstanceDirectory.QUARANTINE_KEY_PREFIX + parts,
+                        InstanceDirectory.QUARANTINE_KEY_PREFIX + text,
                         isQuarantined ? entry.toByteArray() : null,
                         APPEND_TIMEOUT_MILLIS)
                 .whenComplete((done, failure) -> {
                     if (failure == null) {
-                        pending.remove(parts);
+                        pending.remove(text);
                         return;
                     }
                     events.emit(new ControlEvent(
                             ControlEventKind.STORE_LOST,
-                            parts,
+                            text,
                             "could not record the quarantine, retrying: " + failure.getMessage(),
                             0));
-                    timer.runAfter(APPEND_RETRY_MILLIS, () -> write(parts));
+                    timer.runAfter(APPEND_RETRY_MILLIS, () -> write(text));
                 });
     }
 }
