A complete response clears a request at all instances, also after one crash

An instance that got a complete response to a request after a single crash cleared it for itself only. The others kept the crash, so three crashes minutes apart, with responses at other instances in between, would have held back a sound request for 2 min. Now every response that clears a request is told to the peers.

--- a/core/src/main/java/org/jasminehub/core/quarantine/RequestQuarantine.java
+++ b/core/src/main/java/org/jasminehub/core/quarantine/RequestQuarantine.java
@@ -121,15 +121,14 @@
     /**
      * Records a complete response to the request, here or at another instance.
      *
-     * @return whether the request was quarantined or suspected until now
+     * @return whether any crash counted against the request until now, which other instances must learn
      */
     public boolean onCompleted(String digest) {
-        Evidence evidence = requests.remove(digest);
-        if (evidence == null) {
+        if (requests.remove(digest) == null) {
             return false;
         }
         clearedMillis.put(digest, clock.monotonicMillis());
-        return clock.monotonicMillis() < evidence.untilMillis || evidence.crashes > MAX_CRASHES_BEFORE_RETRY;
+        return true;
     }
 
     /** Applies the verdict of another instance; returns whether the request is quarantined because of it. */
--- a/core/src/test/java/org/jasminehub/core/quarantine/RequestQuarantineTest.java
+++ b/core/src/test/java/org/jasminehub/core/quarantine/RequestQuarantineTest.java
@@ -108,6 +108,13 @@
             assertTrue(crash(BAD));
         }
 
+        @Test
+        void testAResponseAfterASingleCrashIsToldToOthers() {
+            crash(BAD);
+
+            assertTrue(quarantine.onCompleted(BAD));
+        }
+
         @Test
         void testAReportFromBeforeTheResponseDoesNotCount() {
             crash(BAD);
