Messages about rate limits with a negative age are rejected

An age is an unsigned number on the wire and negative in Java if a peer sends a huge one. A limit from the future would have been kept against all later responses. Such messages are logged and ignored, as other malformed ones. Found by reading; not tested over sockets.

--- a/gateway/src/main/java/org/jasminehub/gateway/ratelimit/RateLimitController.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/ratelimit/RateLimitController.java
@@ -151,7 +151,8 @@
     }
 
     private void onPeerLimit(EndpointRateLimit limit) {
-        if (limit.getEndpoint().isBlank() || (limit.getIsLimited() && !isValid(limit.getRequestsPerSecond()))) {
+        boolean isValidLimit = !limit.getIsLimited() || isValid(limit.getRequestsPerSecond());
+        if (limit.getEndpoint().isBlank() || limit.getEvidenceAgeMillis() < 0 || !isValidLimit) {
             reject(limit.getEndpoint(), "a peer announces a limit of " + limit.getRequestsPerSecond());
             return;
         }
@@ -168,9 +169,11 @@
     }
 
     private void onPermitMessage(RatePermitExchange encoded) {
-        RatePermitMessage message = encoded.getEndpoint().isBlank() || !isValid(encoded.getRequestsPerSecond())
-                ? null
-                : RateLimitMessages.decode(encoded);
+        boolean isValid = !encoded.getEndpoint().isBlank()
+                && isValid(encoded.getRequestsPerSecond())
+                && encoded.getStatedAgeMillis() >= 0
+                && encoded.getWaitMillis() >= 0;
+        RatePermitMessage message = isValid ? RateLimitMessages.decode(encoded) : null;
         if (message == null) {
             reject(encoded.getEndpoint(), "a peer sent a permit message of kind " + encoded.getKindValue());
             return;
