The last response is not reset by bytes that the caller still sends

A caller that sent more while the last response of a connection was in transit got a reset after 128,000 bytes of 2 MB. Cause: the connection was closed with bytes of the caller unread, which makes the kernel send a reset, and the caller drops what it has not read yet. The connection now ends its own direction, and is closed once the caller has closed its own or after 1 s; what arrives until then is read and dropped. Before, it was closed at once, so no caller gets less time than before.

--- a/gateway/src/main/java/org/jasminehub/gateway/net/CallerConnection.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/CallerConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
@@ -36,6 +37,9 @@
     /** A caller that has just connected or received a response may have sent a request that is still in transit. */
     private static final int IDLE_CHECKS_BEFORE_CLOSE = 10;
 
+    /** Time for a caller to read the rest of the last response and to close the connection. */
+    private static final long LINGER_MILLIS = 1_000;
+
     private final CallerServer server;
     private final CallerLimits limits;
     private final Deque<HttpObject> pendingParts = new ArrayDeque<>();
@@ -164,8 +168,7 @@
         writer = null;
         exchange = null;
         if (closes) {
-            isClosing = true;
-            context.close();
+            closeAfterCaller(context);
             return;
         }
         startTimer(context, limits.idleTimeoutMillis());
@@ -175,6 +178,19 @@
         context.channel().config().setAutoRead(true);
     }
 
+    /**
+     * Closes the connection once the caller has closed it too. Closing it while bytes of the caller are unread would reset
+     * it, and the caller would lose the part of the response that is still in transit.
+     */
+    private void closeAfterCaller(ChannelHandlerContext context) {
+        isClosing = true;
+        startTimer(context, LINGER_MILLIS);
+        context.channel().config().setAutoRead(true);
+        if (context.channel() instanceof DuplexChannel channel) {
+            channel.shutdownOutput();
+        }
+    }
+
     /** Closes the connection after {@code millis} unless the timer is stopped or restarted before. */
     private void startTimer(ChannelHandlerContext context, long millis) {
         stopTimer();
