Calls leave their failure domain as far as it is full

Cause: EndpointChoicePolicy adds a constant to the load of distant endpoints, so calls leave a domain that has room, and all instances choose the same endpoint while statuses are under way. Change: core/locality decides the share of calls that leaves, and compares three random endpoints; on with capacity.crossDomainCost above 0 and enough local endpoints.

--- a/core/src/main/java/org/jasminehub/core/balance/EndpointChoicePolicy.java
+++ b/core/src/main/java/org/jasminehub/core/balance/EndpointChoicePolicy.java
@@ -45,16 +45,32 @@
      */
     public Optional<EndpointRecord> choose(
             List<EndpointRecord> candidates, Set<EndpointId> avoided, ToDoubleFunction<EndpointId> maxCallsPerSlot) {
+        return choose(candidates, avoided, maxCallsPerSlot, DISTANCE_LOAD);
+    }
+
+    /**
+     * Returns the least loaded endpoint, or empty if another call would take every one above its limit.
+     *
+     * @param avoided endpoints that already failed this call; they are chosen only if no other endpoint has room
+     * @param maxCallsPerSlot the limit of an endpoint
+     * @param distanceLoad the load that counts in addition for endpoints in other failure domains
+     */
+    public Optional<EndpointRecord> choose(
+            List<EndpointRecord> candidates,
+            Set<EndpointId> avoided,
+            ToDoubleFunction<EndpointId> maxCallsPerSlot,
+            double distanceLoad) {
         Optional<EndpointRecord> untried = best(
                 candidates.stream()
                         .filter(candidate -> !avoided.contains(candidate.id()))
                         .toList(),
-                maxCallsPerSlot);
-        return untried.isPresent() || avoided.isEmpty() ? untried : best(candidates, maxCallsPerSlot);
+                maxCallsPerSlot,
+                distanceLoad);
+        return untried.isPresent() || avoided.isEmpty() ? untried : best(candidates, maxCallsPerSlot, distanceLoad);
     }
 
     private Optional<EndpointRecord> best(
-            List<EndpointRecord> candidates, ToDoubleFunction<EndpointId> maxCallsPerSlot) {
+            List<EndpointRecord> candidates, ToDoubleFunction<EndpointId> maxCallsPerSlot, double distanceLoad) {
         EndpointRecord best = null;
         double bestScore = Double.MAX_VALUE;
         for (EndpointRecord candidate : candidates) {
@@ -68,7 +84,7 @@
             }
             double score = load
                     + FAILURE_LOAD * loads.failureWeight(candidate.id())
-                    + (candidate.domain().equals(localDomain) ? 0 : DISTANCE_LOAD)
+                    + (candidate.domain().equals(localDomain) ? 0 : distanceLoad)
                     + JITTER_LOAD * random.nextDouble();
             if (score < bestScore) {
                 best = candidate;
--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.jasminehub.core.balance.CallRetryBudget;
-import org.jasminehub.core.balance.EndpointChoicePolicy;
 import org.jasminehub.core.balance.EndpointLoads;
 import org.jasminehub.core.balance.QuietPeriods;
 import org.jasminehub.core.era.EraTracker;
@@ -27,6 +26,7 @@
 import org.jasminehub.gateway.call.CallPipeline;
 import org.jasminehub.gateway.call.CallSettings;
 import org.jasminehub.gateway.call.ConfigurationView;
+import org.jasminehub.gateway.call.DomainTraffic;
 import org.jasminehub.gateway.control.ConfigurationController;
 import org.jasminehub.gateway.control.ControlEvent;
 import org.jasminehub.gateway.control.ControlEventKind;
@@ -139,6 +139,7 @@
                 peers::isCoordinator);
         this.retryBudget = EntrySetup.newRetryBudget(settings, clock);
         this.quarantine = new QuarantineController(client, store, instances, peers, timer, random, clock, events);
+        DomainTraffic traffic = new DomainTraffic(new FailureDomain(settings.failureDomain()), metrics, events);
         this.dispatcher = new CallDispatcher(
                 loop,
                 clock,
@@ -147,7 +148,8 @@
                 monitors,
                 rateLimits.permits(),
                 loads,
-                new EndpointChoicePolicy(loads, new FailureDomain(settings.failureDomain()), random),
+                EntrySetup.newChoice(settings, loads, clock, random, traffic),
+                traffic,
                 retryBudget,
                 quarantine,
                 service -> service == null || service.engine() == null ? PLAIN_CALLS_PER_SLOT : ENGINE_CALLS_PER_SLOT,
--- a/gateway/src/main/java/org/jasminehub/gateway/EntrySetup.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntrySetup.java
@@ -5,8 +5,15 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
 import org.jasminehub.core.balance.CallRetryBudget;
+import org.jasminehub.core.balance.EndpointChoicePolicy;
+import org.jasminehub.core.balance.EndpointLoads;
+import org.jasminehub.core.identity.FailureDomain;
+import org.jasminehub.core.locality.DomainAwareChoice;
+import org.jasminehub.core.locality.LocalitySettings;
 import org.jasminehub.core.time.Clock;
+import org.jasminehub.gateway.call.DomainTraffic;
 import org.jasminehub.gateway.net.EndpointAddress;
 import org.jasminehub.wire.generated.InstanceRecord;
 
@@ -32,6 +39,20 @@
         return new CallRetryBudget(clock, settings.repeatRatio(), settings.repeatReserve(), windowMillis);
     }
 
+    static DomainAwareChoice newChoice(
+            GatewaySettings settings, EndpointLoads loads, Clock clock, RandomGenerator random, DomainTraffic traffic) {
+        FailureDomain home = new FailureDomain(settings.failureDomain());
+        CapacitySettings capacity = settings.capacity();
+        return new DomainAwareChoice(
+                new EndpointChoicePolicy(loads, home, random),
+                loads,
+                clock,
+                home,
+                new LocalitySettings(capacity.crossDomainCost(), capacity.homeDomainMinEndpoints()),
+                random,
+                traffic::onSpilloverChanged);
+    }
+
     static EventLoop newLoop() {
         return new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("gateway"), NioIoHandler.newFactory())
                 .next();
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
@@ -14,13 +14,13 @@
 import java.util.random.RandomGenerator;
 import org.jasminehub.core.balance.AttemptEnd;
 import org.jasminehub.core.balance.CallRetryBudget;
-import org.jasminehub.core.balance.EndpointChoicePolicy;
 import org.jasminehub.core.balance.EndpointLoads;
 import org.jasminehub.core.balance.GroupBackoff;
 import org.jasminehub.core.balance.QuietPeriods;
 import org.jasminehub.core.error.ErrorCode;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
+import org.jasminehub.core.locality.DomainAwareChoice;
 import org.jasminehub.core.ratelimit.RatePermits;
 import org.jasminehub.core.serving.EndpointRecord;
 import org.jasminehub.core.serving.GroupSeat;
@@ -56,6 +56,7 @@
     private final QuietPeriods quiet;
     private final RatePermits permits;
     private final EndpointLoads loads;
+    private final DomainTraffic traffic;
     private final EndpointSelector selector;
     private final CallRetryBudget retryBudget;
     private final QuarantineController quarantine;
@@ -75,7 +76,8 @@
             EndpointMonitors monitors,
             RatePermits permits,
             EndpointLoads loads,
-            EndpointChoicePolicy choicePolicy,
+            DomainAwareChoice choice,
+            DomainTraffic traffic,
             CallRetryBudget retryBudget,
             QuarantineController quarantine,
             ConcurrencyLimits concurrency,
@@ -89,21 +91,14 @@
         this.quiet = monitors.quietPeriods();
         this.permits = permits;
         this.loads = loads;
+        this.traffic = traffic;
         this.retryBudget = retryBudget;
         this.quarantine = quarantine;
         this.random = random;
         this.events = events;
         this.groupBackoff = new GroupBackoff(clock);
         this.selector = new EndpointSelector(
-                endpoints,
-                quiet,
-                loads,
-                choicePolicy,
-                groupBackoff,
-                concurrency,
-                permits,
-                this::after,
-                this::dispatchQueued);
+                endpoints, quiet, loads, choice, groupBackoff, concurrency, permits, this::after, this::dispatchQueued);
     }
 
     /** Returns how many calls are open. */
@@ -253,6 +248,7 @@
 
     void onSent(EndpointRecord endpoint) {
         loads.onSent(endpoint.id());
+        traffic.onSent(endpoint);
         quiet.onSent(endpoint.incarnation());
         permits.onSent(endpoint);
     }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/EndpointSelector.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/EndpointSelector.java
@@ -5,11 +5,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.ToDoubleFunction;
-import org.jasminehub.core.balance.EndpointChoicePolicy;
 import org.jasminehub.core.balance.EndpointLoads;
 import org.jasminehub.core.balance.GroupBackoff;
 import org.jasminehub.core.balance.QuietPeriods;
 import org.jasminehub.core.identity.EndpointId;
+import org.jasminehub.core.locality.DomainAwareChoice;
 import org.jasminehub.core.ratelimit.RatePermits;
 import org.jasminehub.core.serving.EndpointRecord;
 import org.jasminehub.core.serving.EngineProfile;
@@ -28,7 +28,7 @@
     private final EndpointController endpoints;
     private final QuietPeriods quiet;
     private final EndpointLoads loads;
-    private final EndpointChoicePolicy choicePolicy;
+    private final DomainAwareChoice choice;
     private final GroupBackoff groupBackoff;
     private final ConcurrencyLimits concurrency;
     private final RatePermits permits;
@@ -45,7 +45,7 @@
             EndpointController endpoints,
             QuietPeriods quiet,
             EndpointLoads loads,
-            EndpointChoicePolicy choicePolicy,
+            DomainAwareChoice choice,
             GroupBackoff groupBackoff,
             ConcurrencyLimits concurrency,
             RatePermits permits,
@@ -54,7 +54,7 @@
         this.endpoints = endpoints;
         this.quiet = quiet;
         this.loads = loads;
-        this.choicePolicy = choicePolicy;
+        this.choice = choice;
         this.groupBackoff = groupBackoff;
         this.concurrency = concurrency;
         this.permits = permits;
@@ -73,18 +73,24 @@
         List<EndpointRecord> candidates =
                 serving.stream().filter(this::isPastQuietPeriod).toList();
         if (candidates.stream().noneMatch(permits::isLimited)) {
-            return choicePolicy.choose(candidates, call.triedEndpoints(), maxCallsPerSlot);
+            return choose(call, candidates, maxCallsPerSlot);
         }
         boolean hasEndpoint = choosePermitted(call, candidates, maxCallsPerSlot).isPresent();
         requestPermits(call, candidates, maxCallsPerSlot, hasEndpoint ? 1 : MAX_PERMIT_REQUESTS);
         return choosePermitted(call, candidates, maxCallsPerSlot);
     }
 
+    private Optional<EndpointRecord> choose(
+            RunningCall call, List<EndpointRecord> candidates, ToDoubleFunction<EndpointId> maxCallsPerSlot) {
+        boolean wasSent = !call.triedEndpoints().isEmpty();
+        return choice.choose(call.service(), candidates, call.triedEndpoints(), maxCallsPerSlot, wasSent);
+    }
+
     private Optional<EndpointRecord> choosePermitted(
             RunningCall call, List<EndpointRecord> candidates, ToDoubleFunction<EndpointId> maxCallsPerSlot) {
         List<EndpointRecord> permitted =
                 candidates.stream().filter(permits::maySend).toList();
-        return choicePolicy.choose(permitted, call.triedEndpoints(), maxCallsPerSlot);
+        return choose(call, permitted, maxCallsPerSlot);
     }
 
     /** Requests permits for the endpoints that would be chosen without rate limits, up to the first that needs none. */
@@ -96,7 +102,7 @@
         List<EndpointRecord> wanted = new ArrayList<>(candidates);
         wanted.removeIf(endpoint -> !permits.maySend(endpoint) && !permits.mayRequest(endpoint));
         for (int requests = 0; requests < maxRequests; requests++) {
-            Optional<EndpointRecord> best = choicePolicy.choose(wanted, call.triedEndpoints(), maxCallsPerSlot);
+            Optional<EndpointRecord> best = choose(call, wanted, maxCallsPerSlot);
             if (best.isEmpty() || permits.maySend(best.get())) {
                 return;
             }
