Keep a silent stream open until another endpoint continues it

Cause: an attempt without an event for 1.2 s, or without a first one for 2.5 times the target, was ended before another endpoint had accepted the call. If the others refused it, the response was cut although its own endpoint would have continued. Ruled out: the stop itself; PlannedStopConnectionsTest failed with 4 requests and SoakRun with sends=4, both after "no stream event within 1200 ms". Also a third attempt for a silent second one: callers leave after 2 s. Also two copies of a call at one endpoint, unless the service has no other one, which is resumed there as before. Change: CallAttempts holds the current attempt and a candidate. The first that continues the stream goes on, the other is cancelled; a candidate that is refused or fails ends nothing; if the current one fails, the candidate takes its place. A call that waits in the queue for a candidate is not refused from there, leaves the queue with the next event, and does not hold up calls for the endpoint of its silent attempt. A candidate starts under the limits of before (attempts of the route, sends, retry budget, stalled group, suspected call) and not while the caller reads too slowly. The checks are repeated every 500 ms. An attempt counts at its endpoint until its own end. Soak test: a stream may be cut late in a stop if its endpoint still works; so far only the last arrival counted. A refused second attempt is now the last arrival while the silent one is open, so a silent arrival counts too, but only if the gateway kept its connection until that time, which the endpoint now records. Invariants are checked after all connections are closed.

--- a/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.concurrent.ScheduledFuture;
 import org.jasminehub.core.balance.AttemptEnd;
+import org.jasminehub.core.balance.SilentStreamPolicy;
 import org.jasminehub.core.serving.CallKind;
 import org.jasminehub.core.serving.EndpointRecord;
 import org.jasminehub.core.serving.WorkspaceGrant;
@@ -32,17 +33,6 @@
     /** Share of the target latency after which a retryable call without a response is sent to another endpoint. */
     private static final double RESPONSE_TIMEOUT_FACTOR = 0.65;
 
-    /**
-     * Time-out for the first event of a stream, as a factor of the target latency; a fully loaded engine starts slowly.
-     */
-    private static final double FIRST_EVENT_TIMEOUT_FACTOR = 2.5;
-
-    /** A stream without an event for this long is resumed elsewhere, before its caller gives up after 2 s. */
-    private static final long EVENT_TIMEOUT_MILLIS = 1_200;
-
-    /** No progress for this long counts as a stall; even the slowest group finishes several passes in that time. */
-    private static final long STALL_THRESHOLD_MILLIS = 500;
-
     /** The engine has completed a pass with the call when the second event arrives. */
     private static final int EVENTS_OF_SOUND_PROMPT = 2;
 
@@ -111,13 +101,45 @@
         }
     }
 
-    /** Ends the attempt because the call has ended; records neither success nor failure of the endpoint. */
+    boolean isEnded() {
+        return isEnded;
+    }
+
+    /**
+     * Ends the attempt because the call has ended or its other attempt has continued it after a silence; records
+     * neither success nor failure of the endpoint.
+     */
     void cancel() {
         if (close()) {
             call.dispatcher().onAttemptCancelled(call.service(), endpoint.id());
         }
     }
 
+    /** Ends the attempt because another endpoint has continued the stream; counts as a failure of this endpoint. */
+    void endAsSilent() {
+        if (close()) {
+            call.dispatcher().onAttemptFailed(endpoint, AttemptEnd.MAY_HAVE_RUN);
+            report(AttemptEnd.MAY_HAVE_RUN, "no stream event until another endpoint sent the next one", true);
+        }
+    }
+
+    /** Logs that the attempt failed. */
+    void report(AttemptEnd end, String reason, boolean isRetried) {
+        Long lastEventId = call.lastEventId();
+        call.dispatcher()
+                .events()
+                .emit(new AttemptFailed(
+                        call.context().requestId(),
+                        endpoint.id().value(),
+                        end,
+                        reason,
+                        call.dispatcher().openCallsAt(endpoint.id()),
+                        lastEventId == null ? -1 : lastEventId,
+                        elapsedMillis(),
+                        isRetried,
+                        call.identity().sharedParts()));
+    }
+
     private boolean close() {
         if (isEnded) {
             return false;
@@ -137,35 +159,34 @@
         if (!call.route().mayRetry()) {
             return;
         }
-        boolean isStream = call.route().kind() == CallKind.STREAMING;
-        long limitMillis = (long) (call.route().targetLatencyMillis()
-                * (isStream ? FIRST_EVENT_TIMEOUT_FACTOR : RESPONSE_TIMEOUT_FACTOR));
-        scheduleTimeout(limitMillis, "no answer for " + limitMillis + " ms");
-    }
-
-    private void scheduleTimeout(long limitMillis, String reason) {
-        if (timeoutTimer != null) {
-            timeoutTimer.cancel(false);
+        if (call.route().kind() == CallKind.STREAMING) {
+            scheduleSilenceCheck(SilentStreamPolicy.firstEventTimeoutMillis(call.route()));
+            return;
         }
-        timeoutTimer = call.dispatcher().after(limitMillis, () -> onTimeout(reason));
+        long limitMillis = (long) (call.route().targetLatencyMillis() * RESPONSE_TIMEOUT_FACTOR);
+        timeoutTimer = call.dispatcher().after(limitMillis, () -> onTimeout("no answer for " + limitMillis + " ms"));
     }
 
-    /**
-     * Handles a time-out. The engines of a group stall together; retrying at another engine of a stalled group would
-     * only add work, so the attempt keeps waiting. The last attempt that a call may make is not ended by a time-out.
-     */
+    /** Ends the attempt, unless it is the last one that the call may make. */
     private void onTimeout(String reason) {
-        if (!call.mayRetryAfterRun()) {
-            return;
-        }
-        if (call.route().kind() == CallKind.STREAMING
-                && call.dispatcher().isStalled(call.service(), STALL_THRESHOLD_MILLIS)) {
-            scheduleTimeout(STALL_THRESHOLD_MILLIS, reason);
-        } else {
+        if (call.attempts().mayRetryAfterRun()) {
             fail(AttemptEnd.MAY_HAVE_RUN, reason);
         }
     }
 
+    /** Checks after {@code delayMillis} without an event, and repeatedly from then on, whether to try another endpoint. */
+    private void scheduleSilenceCheck(long delayMillis) {
+        if (timeoutTimer != null) {
+            timeoutTimer.cancel(false);
+        }
+        timeoutTimer = call.dispatcher().after(delayMillis, () -> {
+            if (!isEnded) {
+                scheduleSilenceCheck(SilentStreamPolicy.CHECK_INTERVAL_MILLIS);
+                call.attempts().onSilent(this);
+            }
+        });
+    }
+
     /** Called for each stream event that has been relayed. */
     void onProgress() {
         long nowMillis = call.dispatcher().clock().monotonicMillis();
@@ -177,7 +198,7 @@
             call.identity().onOutput();
         }
         if (call.route().mayRetry()) {
-            scheduleTimeout(EVENT_TIMEOUT_MILLIS, "no stream event within " + EVENT_TIMEOUT_MILLIS + " ms");
+            scheduleSilenceCheck(SilentStreamPolicy.EVENT_TIMEOUT_MILLIS);
         }
     }
 
@@ -198,7 +219,7 @@
             return;
         }
         boolean isStream = isSuccess && call.route().kind() == CallKind.STREAMING;
-        if (call.isHeadSent() && !isStream) {
+        if (!isStream && (call.isHeadSent() || call.attempts().isCandidate(this))) {
             fail(parsedHeaders.isNotRun() ? AttemptEnd.NOT_RUN : AttemptEnd.MAY_HAVE_RUN, "status " + status.code());
             return;
         }
@@ -225,7 +246,7 @@
         if (failure == ExchangeFailure.WITHHELD) {
             if (close()) {
                 call.dispatcher().onAttemptWithheld(endpoint.id());
-                call.onAttemptWithheld();
+                call.attempts().onWithheld(this);
             }
             return;
         }
@@ -246,13 +267,13 @@
             fail(AttemptEnd.MAY_HAVE_RUN, reason);
         } else if (close()) {
             call.dispatcher().onAttemptFailed(endpoint, AttemptEnd.MAY_HAVE_RUN);
+            call.attempts().onInspection(this);
             call.dispatcher()
                     .quarantine()
                     .inspect(
                             endpoint,
                             call.identity().asCrashSuspect(elapsedMillis()),
-                            () -> call.onAttemptFailed(
-                                    this, AttemptEnd.MAY_HAVE_RUN, reason, () -> deliverFailure(reason)));
+                            () -> onFailed(AttemptEnd.MAY_HAVE_RUN, reason, () -> deliverFailure(reason)));
         }
     }
 
@@ -268,6 +289,7 @@
             }
             call.identity().onCompleted(status);
             call.dispatcher().onAttemptServed(call.service(), endpoint.id());
+            call.attempts().onDelivery(this);
             call.onServed(status);
         }
     }
@@ -284,7 +306,13 @@
     void fail(AttemptEnd end, String reason, Runnable deliverFailure) {
         if (close()) {
             call.dispatcher().onAttemptFailed(endpoint, end);
-            call.onAttemptFailed(this, end, reason, deliverFailure);
+            onFailed(end, reason, deliverFailure);
+        }
+    }
+
+    private void onFailed(AttemptEnd end, String reason, Runnable deliverFailure) {
+        if (!call.isDone()) {
+            call.attempts().onFailed(this, end, reason, deliverFailure);
         }
     }
 }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/AttemptFailed.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/AttemptFailed.java
@@ -14,7 +14,7 @@
  * @param openCalls the endpoint's open calls as known to this instance
  * @param lastEventId the id of the last stream event delivered to the caller, -1 if there is none
  * @param elapsedMillis the time since the attempt was sent
- * @param isRepeated whether the call is retried
+ * @param isRepeated whether the call goes on with another attempt
  * @param promptParts the parts of the prompt that other requests may share
  */
 public record AttemptFailed(
--- a/gateway/src/main/java/org/jasminehub/gateway/call/BufferedRelay.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/BufferedRelay.java
@@ -55,6 +55,7 @@
         }
         buffer.writeBytes(bytes);
         if (buffer.size() > MAX_BUFFERED_BYTES && headers != null && !isNotRun) {
+            call.attempts().onDelivery(attempt);
             call.answer().begin(status, headers, contentLength);
             call.onHeadSent();
             call.answer().part(buffer.toByteArray());
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
@@ -131,6 +131,10 @@
             }
             for (RunningCall call : queue.inDispatchOrder()) {
                 Optional<EndpointRecord> endpoint = choose(call);
+                if (endpoint.isEmpty() && call.attempts().isAnyOpen()) {
+                    // The endpoint of its open attempt, which it may not use, may have capacity for the next calls.
+                    continue;
+                }
                 if (endpoint.isEmpty()) {
                     break;
                 }
@@ -246,6 +250,10 @@
         queue(call.service()).enqueue(call);
     }
 
+    void dequeue(RunningCall call) {
+        queue(call.service()).remove(call);
+    }
+
     /** Returns the delay after which a caller refused for lack of capacity should retry. */
     long retryAfterMillis(String service) {
         return queue(service).retryAfterMillis(random.nextDouble());
--- a/gateway/src/main/java/org/jasminehub/gateway/call/EndpointSelector.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/EndpointSelector.java
@@ -70,8 +70,12 @@
                 .toList();
         // The limits of a group also depend on its quiet endpoints, whose calls go on.
         ToDoubleFunction<EndpointId> maxCallsPerSlot = maxCallsPerSlot(call, queue, serving);
-        List<EndpointRecord> candidates =
-                serving.stream().filter(this::isPastQuietPeriod).toList();
+        boolean isOnlyEndpoint = endpoints.serving(call.service()).size() == 1;
+        List<EndpointRecord> candidates = serving.stream()
+                // A second copy at the endpoint of a silent stream is useful only if there is no other endpoint.
+                .filter(endpoint -> isOnlyEndpoint || !call.attempts().isOpenAt(endpoint.id()))
+                .filter(this::isPastQuietPeriod)
+                .toList();
         if (candidates.stream().noneMatch(permits::isLimited)) {
             return choicePolicy.choose(candidates, call.triedEndpoints(), maxCallsPerSlot);
         }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/QueueWait.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/QueueWait.java
@@ -25,6 +25,10 @@
         timer = timeout;
     }
 
+    boolean isRunning() {
+        return startedMillis != NOT_WAITING;
+    }
+
     /** Ends the current wait, if there is one. */
     void end() {
         if (startedMillis != NOT_WAITING) {
--- a/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
@@ -1,13 +1,11 @@
 package org.jasminehub.gateway.call;
 
 import io.netty.handler.codec.http.HttpResponseStatus;
-import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import org.jasminehub.core.balance.AttemptEnd;
 import org.jasminehub.core.balance.CallQueuePolicy;
-import org.jasminehub.core.balance.CallRetryPolicy;
 import org.jasminehub.core.error.ErrorCode;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.serving.EndpointRecord;
@@ -26,9 +24,6 @@
      */
     static final long MAX_REQUEUE_WAIT_MILLIS = 1_500;
 
-    /** Delay before a retry after an engine refused a call; about one or two passes of a group. */
-    private static final long REFUSAL_RETRY_DELAY_MILLIS = 150;
-
     private static final int LOWEST_PRIORITY = 9;
 
     private final CallContext context;
@@ -36,14 +31,10 @@
     private final CallDispatcher dispatcher;
     private final long sequence;
     private final QueueWait queueWait;
-    private final Set<EndpointId> triedEndpoints = new HashSet<>();
     private final CallIdentity identity;
+    private final CallAttempts attempts;
     private String service = "";
-    private @Nullable Attempt attempt;
     private @Nullable ScheduledFuture<?> deadlineTimer;
-    private String lastEndpoint = "";
-    private int sends;
-    private int runs;
     private long firstByteMillis = -1;
     private @Nullable Long lastEventId;
     private boolean isHeadSent;
@@ -57,6 +48,7 @@
         this.sequence = dispatcher.nextSequence();
         this.queueWait = new QueueWait(dispatcher.clock());
         this.identity = new CallIdentity(context, dispatcher.quarantine());
+        this.attempts = new CallAttempts(this);
     }
 
     /** Dispatches the call; its context must have passed all filters. */
@@ -99,7 +91,11 @@
     }
 
     Set<EndpointId> triedEndpoints() {
-        return triedEndpoints;
+        return attempts.triedEndpoints();
+    }
+
+    CallAttempts attempts() {
+        return attempts;
     }
 
     int priority() {
@@ -133,6 +129,10 @@
         return lastEventId;
     }
 
+    boolean isDone() {
+        return isDone;
+    }
+
     void onEventDelivered(long id) {
         lastEventId = id;
     }
@@ -170,7 +170,8 @@
         }
     }
 
-    private void dispatch() {
+    /** Sends the call to an endpoint, queues it or refuses it; no attempt may be open. */
+    void dispatch() {
         if (refuseIfQuarantined()) {
             return;
         }
@@ -185,27 +186,39 @@
             return;
         }
         long maxWaitMillis = CallQueuePolicy.maxWaitMillis(route(), context.timeLimitMillis()) - elapsedMillis();
-        if (sends > 0) {
+        boolean isSent = attempts.sends() > 0;
+        if (isSent) {
             // Work has already been spent on the call, so it stays queued even if it will miss its target latency.
             maxWaitMillis = Math.min(remainingMillis(), MAX_REQUEUE_WAIT_MILLIS);
         }
-        if (sends == 0 && !dispatcher.mayWait(this, maxWaitMillis)) {
+        if (!isSent && !dispatcher.mayWait(this, maxWaitMillis)) {
             refuseForCapacity();
             return;
         }
+        waitInQueue(maxWaitMillis);
+    }
+
+    /** Queues the call until an endpoint has capacity for an attempt. */
+    void waitInQueue(long maxWaitMillis) {
         queueWait.begin(maxWaitMillis, dispatcher.after(maxWaitMillis, this::refuseForCapacity));
         dispatcher.enqueue(this);
     }
 
+    boolean isQueued() {
+        return queueWait.isRunning();
+    }
+
+    void leaveQueue() {
+        if (isQueued()) {
+            queueWait.end();
+            dispatcher.dequeue(this);
+        }
+    }
+
     /** Sends the call to {@code endpoint}. */
     void send(EndpointRecord endpoint) {
         queueWait.end();
-        sends++;
-        triedEndpoints.add(endpoint.id());
-        lastEndpoint = endpoint.id().value();
-        Attempt next = new Attempt(this, endpoint);
-        attempt = next;
-        next.start();
+        attempts.send(endpoint);
     }
 
     /** Returns how much longer the call may stay in the queue. */
@@ -216,7 +229,7 @@
     /** Refuses the call because no endpoint has capacity in time, or because the queue ahead of it is too long. */
     void refuseForCapacity() {
         if (!isDone) {
-            endWithRefusal(dispatcher.noCapacity(this));
+            refuse(dispatcher.noCapacity(this));
         }
     }
 
@@ -226,63 +239,9 @@
         }
     }
 
-    /** Returns whether the call could be retried if the current attempt were ended now. */
-    boolean mayRetryAfterRun() {
-        return CallRetryPolicy.mayRetry(route(), AttemptEnd.MAY_HAVE_RUN, runs + 1, sends, remainingMillis())
-                && dispatcher.unavailability(service()).isEmpty()
-                && dispatcher.isAnyPermitted(service());
-    }
-
-    /**
-     * Called when the current attempt failed; retries the call, or runs {@code deliverFailure} if no retry is allowed.
-     */
-    void onAttemptFailed(Attempt failed, AttemptEnd end, String reason, Runnable deliverFailure) {
-        if (isDone) {
-            return;
-        }
-        runs += end.isNotRun() ? 0 : 1;
-        boolean isRetried = CallRetryPolicy.mayRetry(route(), end, runs, sends, remainingMillis())
-                && !identity.isSuspected()
-                && dispatcher.tryRetry(service());
-        dispatcher
-                .events()
-                .emit(new AttemptFailed(
-                        context.requestId(),
-                        failed.endpoint().id().value(),
-                        end,
-                        reason,
-                        dispatcher.openCallsAt(failed.endpoint().id()),
-                        lastEventId == null ? -1 : lastEventId,
-                        failed.elapsedMillis(),
-                        isRetried,
-                        identity.sharedParts()));
-        attempt = null;
-        ServiceProfile serviceProfile = profile();
-        if (isRetried && end == AttemptEnd.NOT_RUN && serviceProfile != null && serviceProfile.engine() != null) {
-            // An engine refuses calls while it is full or while its group is being re-formed; both last only briefly.
-            dispatcher.after(REFUSAL_RETRY_DELAY_MILLIS, () -> {
-                if (!isDone) {
-                    dispatch();
-                }
-            });
-        } else if (isRetried) {
-            dispatch();
-        } else {
-            deliverFailure.run();
-        }
-    }
-
-    /** Called when the current attempt was not written because its endpoint had become unavailable. */
-    void onAttemptWithheld() {
-        attempt = null;
-        sends--;
-        lastEndpoint = sends == 0 ? "" : lastEndpoint;
-        dispatch();
-    }
-
     /** Responds with an error that this instance creates, because the call failed and is not retried. */
     void respondWithFailure(AttemptEnd end, String reason) {
-        if (end.isNotRun() && runs == 0) {
+        if (end.isNotRun() && attempts.runs() == 0) {
             endWithRefusal(dispatcher
                     .unavailability(service())
                     .orElseGet(() ->
@@ -292,16 +251,20 @@
         }
     }
 
-    /** Refuses the call while no attempt is open. */
+    /** Refuses the call; one with an open attempt only stops waiting for an endpoint for another attempt. */
     void refuse(Refusal refusal) {
-        endWithRefusal(refusal);
+        if (attempts.isAnyOpen()) {
+            leaveQueue();
+        } else {
+            endWithRefusal(refusal);
+        }
     }
 
     private void endWithRefusal(Refusal refusal) {
         if (isDone) {
             return;
         }
-        boolean mayHaveRun = runs > 0 || attempt != null;
+        boolean mayHaveRun = attempts.mayHaveRun();
         Refusal response = refusal;
         if (mayHaveRun && refusal.status() == HttpResponseStatus.SERVICE_UNAVAILABLE.code()) {
             // Callers read 503 as "not run", which is not certain here.
@@ -338,22 +301,20 @@
 
     /** Called when the response has been delivered. */
     void onServed(int status) {
-        attempt = null;
+        attempts.onServed();
         end(CallEventKind.CALL_SERVED, status, "", "");
     }
 
     @Override
     public void onCallerDisconnected() {
         if (!isDone) {
-            end(CallEventKind.CALLER_GONE, 0, "", "disconnected after " + sends + " attempts");
+            end(CallEventKind.CALLER_GONE, 0, "", "disconnected after " + attempts.sends() + " attempts");
         }
     }
 
     @Override
     public void onWritabilityChanged(boolean isWritable) {
-        if (attempt != null) {
-            attempt.setReading(isWritable);
-        }
+        attempts.setReading(isWritable);
     }
 
     private void end(CallEventKind kind, int status, String code, String reason) {
@@ -362,11 +323,7 @@
         if (deadlineTimer != null) {
             deadlineTimer.cancel(false);
         }
-        if (attempt != null) {
-            runs++;
-            attempt.cancel();
-            attempt = null;
-        }
+        attempts.endAll();
         if (context.route != null) {
             dispatcher.onDone(this);
         }
@@ -381,9 +338,9 @@
                         status,
                         code,
                         reason,
-                        lastEndpoint,
-                        sends,
-                        runs,
+                        attempts.lastEndpoint(),
+                        attempts.sends(),
+                        attempts.runs(),
                         queueWait.totalMillis(),
                         firstByteMillis,
                         elapsedMillis(),
--- a/gateway/src/test/java/org/jasminehub/gateway/SoakCall.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/SoakCall.java
@@ -29,11 +29,17 @@
     static final class Arrival {
         private volatile Action action = Action.UNFINISHED;
         private volatile long endedNanos;
+        private volatile long closedNanos;
 
         Action action() {
             return action;
         }
 
+        /** Returns when the gateway closed the connection of a silent stream, 0 if it did not or the stream is none. */
+        long closedNanos() {
+            return closedNanos;
+        }
+
         /** Returns when the endpoint finished the request; only for a finished request. */
         long endedNanos() {
             return endedNanos;
@@ -172,6 +178,12 @@
         note("endpoint: " + action);
     }
 
+    /** Records that the gateway closed the connection on which the endpoint stays silent. */
+    void onClosedByGateway(Arrival arrival) {
+        arrival.closedNanos = System.nanoTime();
+        note("gateway ends the silent attempt");
+    }
+
     /** Adds a line to the history of the request. */
     void note(String line) {
         history.add("  " + millis(System.nanoTime() - runStartNanos) + " ms " + line);
