--- a/core/src/main/java/org/jasminehub/core/balance/EndpointEligibility.java
+++ b/core/src/main/java/org/jasminehub/core/balance/EndpointEligibility.java
@@ -21,10 +21,11 @@
     /**
      * Returns the endpoints that accept new calls, grouped by service.
      *
-     * @param isLeaving whether an endpoint is leaving although its registration does not say so
+     * @param isExcluded whether an endpoint gets no new calls although its registration does not say so, because it is
+     *     leaving or because its failure domain is evacuated
      */
     public static Map<String, List<EndpointRecord>> serving(
-            Collection<EndpointRecord> registered, Predicate<EndpointRecord> isLeaving) {
+            Collection<EndpointRecord> registered, Predicate<EndpointRecord> isExcluded) {
         Map<String, Long> newestStartMillis = new HashMap<>();
         for (EndpointRecord endpoint : registered) {
             newestStartMillis.merge(hostAndPort(endpoint), endpoint.startedWallMillis(), Math::max);
@@ -33,7 +34,7 @@
         for (EndpointRecord endpoint : registered) {
             boolean isSuperseded = endpoint.startedWallMillis()
                     < newestStartMillis.getOrDefault(hostAndPort(endpoint), endpoint.startedWallMillis());
-            if (!endpoint.isDraining() && !isLeaving.test(endpoint) && !isSuperseded) {
+            if (!endpoint.isDraining() && !isExcluded.test(endpoint) && !isSuperseded) {
                 eligible.computeIfAbsent(endpoint.service(), service -> new ArrayList<>())
                         .add(endpoint);
             }
