Send no new calls to evacuated failure domains

Cause: the operator's evacuate/DOMAIN records were read with the configuration and ignored. Before: of 12 calls at a gateway with an endpoint in each of two domains, all 12 went to the evacuated one (DomainEvacuationTest, expected 0 but was 12). Ruled out: the mark of leaving endpoints (it never ends for a run); a second read of the operator's log. Change: EvacuationController gets each read of the follower of the configuration and the statuses of peers. EndpointController leaves evacuated endpoints out, closes their idle connections and has accepts() refuse them right before a request is written; queued calls of a service without another endpoint are refused at once with domain-evacuated. Registrations, groups and requests to engines are unaffected. Events 3530 to 3533, two metrics; explain shows begin and end. Changed test support: InMemoryStore states real offsets (it stated 0 for all) and can open an address that is cut off by itself; GatewayHarness registers endpoints in a given domain. StoreRestoreTest has a new nested class; no test was changed.

--- a/ctl/src/main/java/org/jasminehub/ctl/ExplainCommand.java
+++ b/ctl/src/main/java/org/jasminehub/ctl/ExplainCommand.java
@@ -25,6 +25,8 @@
             "ENDPOINT_LEAVING",
             "ENDPOINT_QUIET",
             "ENDPOINT_LIMITED",
+            "EVACUATION_REQUESTED",
+            "EVACUATION_ENDED",
             "PROCESS_STARTED",
             "PROCESS_STOPPING");
 
--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -33,6 +33,7 @@
 import org.jasminehub.gateway.control.DelayedRunner;
 import org.jasminehub.gateway.control.EndpointController;
 import org.jasminehub.gateway.control.EndpointMonitors;
+import org.jasminehub.gateway.control.EvacuationController;
 import org.jasminehub.gateway.control.InstanceDirectory;
 import org.jasminehub.gateway.control.InstanceRegistration;
 import org.jasminehub.gateway.control.LoadExchange;
@@ -91,6 +92,7 @@
     private final StoreReliability storeReliability;
     private final ExpertCoordinator experts;
     private final EraTracker eras;
+    private final EvacuationController evacuations;
     private final SuspensionDetector suspension;
     private final EndpointLoads loads;
     private final CallRetryBudget retryBudget;
@@ -113,10 +115,10 @@
         StoreClient store =
                 new StoreClient(new StoreConnection(client, EndpointAddress.parse(settings.storeAddress())), eras);
         RandomGenerator random = new SplittableRandom(settings.instance().hashCode() ^ clock.wallMillis());
+        this.evacuations = new EvacuationController(eras, clock, events);
         this.configuration = new ConfigurationController(
-                store, StoreReads.configuration(this::instanceCount), timer, clock, events, eras);
-        this.endpoints =
-                new EndpointController(store, StoreReads.endpoints(settings.drainMillis()), timer, clock, events, eras);
+                store, StoreReads.configuration(this::instanceCount), timer, clock, events, eras, evacuations);
+        this.endpoints = createEndpointController(store);
         this.registration =
                 new InstanceRegistration(EntrySetup.self(settings, clock), store, timer, events, eras, random);
         this.instances = new InstanceDirectory(registration, store, StoreReads.instances(), timer, clock, events, eras);
@@ -124,7 +126,8 @@
         this.peers = createPeerExchange();
         this.storeReliability = new StoreReliability(eras, instances, registration, peers::isInformed, clock);
         this.rateLimits = new RateLimitController(settings.instance(), peers, timer, clock, events);
-        this.monitors = new EndpointMonitors(endpoints, new QuietPeriods(clock), rateLimits, clock, events);
+        this.monitors =
+                new EndpointMonitors(endpoints, new QuietPeriods(clock), rateLimits, evacuations, clock, events);
         this.experts = new ExpertCoordinator(
                 loop,
                 clock,
@@ -160,6 +163,17 @@
         });
     }
 
+    private EndpointController createEndpointController(StoreClient store) {
+        return new EndpointController(
+                store,
+                StoreReads.endpoints(settings.drainMillis()),
+                timer,
+                clock,
+                events,
+                eras,
+                evacuations::isEvacuated);
+    }
+
     private PeerExchange createPeerExchange() {
         return new PeerExchange(
                 registration,
@@ -200,6 +214,7 @@
         registerGauges();
         PeerServer.start(loop, EndpointAddress.parse(settings.peerAddress()), peers);
         loop.execute(() -> {
+            evacuations.start(endpoints, peers::addExtension);
             configuration.start(this::updateReadiness);
             endpoints.start(
                     this::onEndpointsChanged,
@@ -228,6 +243,7 @@
     private void registerGauges() {
         EntryGauges.register(metrics, configuration, endpoints, monitors, client, peers, dispatcher, () -> isReady);
         rateLimits.register(metrics);
+        evacuations.register(metrics);
         quarantine.register(metrics);
     }
 
@@ -304,6 +320,7 @@
 
     private void onEndpointsChanged() {
         rateLimits.onRegistrations(endpoints.all());
+        evacuations.onRegistrations(endpoints.all());
         dispatcher.dispatchQueued();
         updateReadiness();
     }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
@@ -19,6 +19,7 @@
 import org.jasminehub.core.balance.GroupBackoff;
 import org.jasminehub.core.balance.QuietPeriods;
 import org.jasminehub.core.error.ErrorCode;
+import org.jasminehub.core.evacuation.Evacuations;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.ratelimit.RatePermits;
@@ -189,6 +190,12 @@
                             retryAfterMillis.getAsLong(),
                             "all endpoints of " + service + " refuse requests for now"));
         }
+        if (endpoints.isEvacuated(service)) {
+            return Optional.of(Refusal.retryable(
+                    ErrorCode.DOMAIN_EVACUATED,
+                    Evacuations.retryAfterMillis(random.nextDouble()),
+                    "the failure domains of all endpoints of " + service + " are evacuated"));
+        }
         return Optional.of(
                 hasEndpoints(service)
                         ? Refusal.retryable(
--- a/gateway/src/main/java/org/jasminehub/gateway/control/ConfigurationController.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/ConfigurationController.java
@@ -8,6 +8,7 @@
 import org.jasminehub.core.serving.RouteTable;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.platform.hosted.KeyedRecord;
+import org.jasminehub.platform.hosted.LogSlice;
 import org.jasminehub.platform.hosted.RecordRejectedException;
 import org.jasminehub.platform.hosted.RouteTableAdapter;
 import org.jasminehub.platform.hosted.StoreClient;
@@ -32,17 +33,27 @@
 
     private Runnable onApplied = () -> {};
 
-    /** Creates a controller without a configuration. */
+    /**
+     * Creates a controller without a configuration.
+     *
+     * @param listener receives the other records of the operator's log
+     */
     public ConfigurationController(
             StoreClient store,
             FollowerSettings settings,
             DelayedRunner timer,
             Clock clock,
             EventSink events,
-            EraTracker eras) {
+            EraTracker eras,
+            OperatorLogListener listener) {
         this.events = events;
         this.follower = new LogFollower(
                 store, StoreTopic.CONFIGURATION, settings, timer, clock, events, eras, new LogFollower.Listener() {
+                    @Override
+                    public void onSlice(LogSlice slice, boolean isSnapshot, long asOfMillis) {
+                        listener.onOperatorLog(slice, isSnapshot, asOfMillis);
+                    }
+
                     @Override
                     public void onSnapshot(List<KeyedRecord> records) {
                         newestStoredVersion = 0;
--- a/gateway/src/main/java/org/jasminehub/gateway/control/ControlEventKind.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/ControlEventKind.java
@@ -34,6 +34,15 @@
             3512, Severity.WARNING, "An endpoint refuses requests and asks for none for the time that the line says."),
     /** An endpoint limits the requests that it takes from all instances, changed its limit or ended it. */
     ENDPOINT_LIMITED(3513, Severity.WARNING, "An endpoint states how many requests it takes, or no longer does."),
+    /** The operator asks that nothing more be sent to a failure domain. */
+    EVACUATION_REQUESTED(3530, Severity.WARNING, "A failure domain is evacuated; its endpoints get no new call."),
+    /** The operator removed the request to evacuate a failure domain. */
+    EVACUATION_ENDED(3531, Severity.INFO, "A failure domain is no longer evacuated."),
+    /** States when this instance wrote its last request to a failure domain that is evacuated from now on. */
+    EVACUATION_LAST_REQUEST(
+            3532, Severity.INFO, "The last request to an evacuated failure domain was written; the line says when."),
+    /** The operator evacuates a failure domain that no registered endpoint names. */
+    EVACUATION_UNMATCHED(3533, Severity.WARNING, "No endpoint is registered in a failure domain that is evacuated."),
     /** The process has started. */
     PROCESS_STARTED(1500, Severity.INFO, "The process has started."),
     /** The process was asked to stop. */
--- a/gateway/src/main/java/org/jasminehub/gateway/control/EndpointController.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/EndpointController.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.jasminehub.core.balance.EndpointEligibility;
 import org.jasminehub.core.balance.LeavingEndpoints;
 import org.jasminehub.core.era.DepartedEndpoint;
@@ -14,6 +15,7 @@
 import org.jasminehub.core.era.EraTracker;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
+import org.jasminehub.core.identity.FailureDomain;
 import org.jasminehub.core.serving.EndpointIncarnation;
 import org.jasminehub.core.serving.EndpointRecord;
 import org.jasminehub.core.serving.EndpointRegistration;
@@ -28,8 +30,8 @@
 /**
  * Holds the registered endpoints.
  *
- * <p>An endpoint that is draining or removed, or that announced in a response that it is leaving, receives no new calls
- * from the moment at which that is read. During an outage of the store registrations expire although their endpoints are
+ * <p>An endpoint that is draining or removed, that announced in a response that it is leaving, or whose failure domain is
+ * evacuated, receives no new calls from the moment at which that is read. During an outage of the store registrations expire although their endpoints are
  * healthy; such endpoints are kept until they have had time to register again.
  *
  * <p>Must be used on the process's event loop only.
@@ -45,20 +47,27 @@
     private final EraTracker eras;
     private final EndpointHistory history;
     private final LeavingEndpoints leaving;
+    private final Predicate<FailureDomain> isEvacuated;
     private final Map<EndpointId, EndpointRecord> endpoints = new HashMap<>();
     private final Map<EndpointId, Long> expiredAtMillis = new HashMap<>();
     private Map<String, List<EndpointRecord>> servingByService = Map.of();
     private Runnable onChanged = () -> {};
     private Consumer<EndpointRecord> onUnavailable = endpoint -> {};
 
-    /** Creates a controller without endpoints. */
+    /**
+     * Creates a controller without endpoints.
+     *
+     * @param isEvacuated whether the endpoints of a failure domain get no new calls
+     */
     public EndpointController(
             StoreClient store,
             FollowerSettings settings,
             DelayedRunner timer,
             Clock clock,
             EventSink events,
-            EraTracker eras) {
+            EraTracker eras,
+            Predicate<FailureDomain> isEvacuated) {
+        this.isEvacuated = isEvacuated;
         this.events = events;
         this.eras = eras;
         this.history = new EndpointHistory(eras, clock);
@@ -125,10 +134,30 @@
     /** Returns whether new calls may be sent to {@code endpoint}, judged by the newest information about it. */
     public boolean accepts(EndpointRecord endpoint) {
         EndpointRecord known = endpoints.get(endpoint.id());
-        return known != null
-                && known.isSameIncarnation(endpoint)
-                && !known.isDraining()
-                && !leaving.isLeaving(endpoint);
+        return known != null && known.isSameIncarnation(endpoint) && !known.isDraining() && !isExcluded(endpoint);
+    }
+
+    private boolean isExcluded(EndpointRecord endpoint) {
+        return leaving.isLeaving(endpoint) || isEvacuated.test(endpoint.domain());
+    }
+
+    /** Returns whether {@code service} has an endpoint that gets no new calls only because its domain is evacuated. */
+    public boolean isEvacuated(String service) {
+        return endpoints.values().stream()
+                .anyMatch(endpoint -> endpoint.service().equals(service)
+                        && isEvacuated.test(endpoint.domain())
+                        && !endpoint.isDraining()
+                        && !leaving.isLeaving(endpoint));
+    }
+
+    /** Applies a change of the evacuated failure domains; {@code begun} are those evacuated from now on. */
+    public void onEvacuationsChanged(Set<FailureDomain> begun) {
+        for (EndpointRecord endpoint : endpoints.values()) {
+            if (begun.contains(endpoint.domain())) {
+                onUnavailable.accept(endpoint);
+            }
+        }
+        publish();
     }
 
     /** Returns the number of endpoints that announced in a response that they are leaving. */
@@ -282,7 +311,7 @@
 
     private void publish() {
         leaving.onRegistrations(endpoints.values());
-        servingByService = EndpointEligibility.serving(endpoints.values(), leaving::isLeaving);
+        servingByService = EndpointEligibility.serving(endpoints.values(), this::isExcluded);
         onChanged.run();
     }
 }
--- a/gateway/src/main/java/org/jasminehub/gateway/control/EndpointMonitors.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/EndpointMonitors.java
@@ -25,20 +25,23 @@
     private final EndpointController endpoints;
     private final QuietPeriods quiet;
     private final RateLimitObserver rateLimits;
+    private final EvacuationController evacuations;
     private final Clock clock;
     private final EventSink events;
     private long withheld;
 
-    /** Creates monitors that report to {@code endpoints}, {@code quiet} and {@code rateLimits}. */
+    /** Creates monitors that report to {@code endpoints}, {@code quiet}, {@code rateLimits} and {@code evacuations}. */
     public EndpointMonitors(
             EndpointController endpoints,
             QuietPeriods quiet,
             RateLimitObserver rateLimits,
+            EvacuationController evacuations,
             Clock clock,
             EventSink events) {
         this.endpoints = endpoints;
         this.quiet = quiet;
         this.rateLimits = rateLimits;
+        this.evacuations = evacuations;
         this.clock = clock;
         this.events = events;
     }
@@ -59,7 +62,12 @@
         return new ExchangeMonitor() {
             @Override
             public boolean maySend() {
-                return (endpoints.accepts(endpoint) && !quiet.isQuiet(endpoint.incarnation())) || withhold();
+                if (endpoints.accepts(endpoint) && !quiet.isQuiet(endpoint.incarnation())) {
+                    evacuations.onWrite(endpoint.domain());
+                    return true;
+                }
+                evacuations.onWithheld(endpoint.domain());
+                return withhold();
             }
 
             @Override
--- a/gateway/src/main/java/org/jasminehub/gateway/control/LogFollower.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/LogFollower.java
@@ -39,6 +39,14 @@
         /** Called with records that were appended, oldest first. */
         void onRecords(List<KeyedRecord> records);
 
+        /**
+         * Called with each successful read, before its records are passed on.
+         *
+         * @param isSnapshot whether the read returned the newest record of every key
+         * @param asOfMillis the monotonic time as of which the read is current
+         */
+        default void onSlice(LogSlice slice, boolean isSnapshot, long asOfMillis) {}
+
         /** Returns whether the records read so far are at least as new as the state that is in use. */
         default boolean isUpToDate() {
             return true;
@@ -161,6 +169,8 @@
         }
         retryDelayMillis = MIN_RETRY_MILLIS;
         nextOffset = slice.nextOffset();
+        StateAge.ClockReading asOf = confirmedAt(requestedAt, waitMillis, slice);
+        listener.onSlice(slice, waitMillis == NO_WAIT, asOf.monotonicMillis());
         if (waitMillis == NO_WAIT) {
             listener.onSnapshot(slice.records());
         } else if (!slice.records().isEmpty()) {
@@ -168,7 +178,7 @@
         }
         // After a restore the store does not show the lost records until they have been written again.
         if (eras.isCompleteSince(requestedAt.monotonicMillis()) && listener.isUpToDate()) {
-            age.confirm(confirmedAt(requestedAt, waitMillis, slice));
+            age.confirm(asOf);
         }
         timer.runAfter(settings.pauseMillis(), () -> read(readGeneration));
     }
--- a/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
@@ -85,6 +85,7 @@
     private final EventLoop storeLoop;
     private final InMemoryStore store;
     private final boolean ownsStore;
+    private final String peerAddress;
     private final ShiftableClock clock = new ShiftableClock();
     private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
     private final MetricRegistry metrics = new MetricRegistry();
@@ -95,12 +96,18 @@
     }
 
     GatewayHarness(double graceSeconds) {
-        this("entry-1", ANY_PORT, graceSeconds, newStoreLoop(), null);
+        this("entry-1", ANY_PORT, graceSeconds, newStoreLoop(), null, null);
     }
 
     private GatewayHarness(
-            String name, String peerAddress, double graceSeconds, EventLoop storeLoop, @Nullable InMemoryStore shared) {
+            String name,
+            String peerAddress,
+            double graceSeconds,
+            EventLoop storeLoop,
+            @Nullable InMemoryStore shared,
+            @Nullable String storeAddress) {
         this.storeLoop = storeLoop;
+        this.peerAddress = peerAddress;
         this.ownsStore = shared == null;
         this.store = shared == null ? new InMemoryStore(storeLoop) : shared;
         GatewaySettings settings = new GatewaySettings(
@@ -113,7 +120,7 @@
                 0,
                 1,
                 List.of(),
-                store.address(),
+                storeAddress == null ? store.address() : storeAddress,
                 5_000,
                 2_000,
                 graceSeconds,
@@ -135,12 +142,17 @@
 
     /** Starts an instance that other instances can connect to. */
     static GatewayHarness withPeers(String name) throws IOException {
-        return new GatewayHarness(name, freeAddress(), GRACE_SECONDS, newStoreLoop(), null);
+        return new GatewayHarness(name, freeAddress(), GRACE_SECONDS, newStoreLoop(), null, null);
     }
 
     /** Starts another instance with the store of this one. */
     GatewayHarness startPeer(String name) throws IOException {
-        return new GatewayHarness(name, freeAddress(), GRACE_SECONDS, storeLoop, store);
+        return startPeer(name, store.address());
+    }
+
+    /** Starts another instance that reaches the store of this one at {@code storeAddress}. */
+    GatewayHarness startPeer(String name, String storeAddress) throws IOException {
+        return new GatewayHarness(name, freeAddress(), GRACE_SECONDS, storeLoop, store, storeAddress);
     }
 
     /** Peers connect to the registered port, so it must be known before the start. */
@@ -159,6 +171,11 @@
         return ((Number) metrics.getGauges().get(name).getValue()).longValue();
     }
 
+    /** Returns the address that peers connect to; its port is 0 unless the instance was started with peers. */
+    String peerAddress() {
+        return peerAddress;
+    }
+
     ShiftableClock clock() {
         return clock;
     }
@@ -179,13 +196,33 @@
         await(() -> entry.knowsEndpoint(id, state.equals("draining")));
     }
 
+    /** Registers an endpoint of the failure domain {@code domain} and waits until the entry instance knows it. */
+    void registerIn(String domain, String id, int port) {
+        putRegistration(domain, id, port, "ready", 1);
+        await(() -> entry.knowsEndpoint(id, false));
+    }
+
     /** Writes the registration number {@code sequence} of an endpoint without waiting for its effect. */
     void putRegistration(String id, int port, String state, long sequence) {
+        putRegistration("a", id, port, state, sequence);
+    }
+
+    private void putRegistration(String domain, String id, int port, String state, long sequence) {
         store.put(
                 "keyed.servers",
                 id,
-                "{\"service\":\"plain\",\"address\":\"127.0.0.1:" + port + "\",\"zone\":\"a\",\"slots\":4,\"state\":\""
-                        + state + "\",\"born\":1,\"sequence\":" + sequence + "}");
+                "{\"service\":\"plain\",\"address\":\"127.0.0.1:" + port + "\",\"zone\":\"" + domain
+                        + "\",\"slots\":4,\"state\":\"" + state + "\",\"born\":1,\"sequence\":" + sequence + "}");
+    }
+
+    /** Writes the operator's request to evacuate {@code domain} without waiting for its effect. */
+    void putEvacuation(String domain) {
+        store.put("keyed.op", "evacuate/" + domain, "{}");
+    }
+
+    /** Removes the operator's request to evacuate {@code domain} without waiting for its effect. */
+    void removeEvacuation(String domain) {
+        store.put("keyed.op", "evacuate/" + domain, "");
     }
 
     /** Publishes a configuration without waiting until it is in force. */
--- a/gateway/src/test/java/org/jasminehub/gateway/InMemoryStore.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/InMemoryStore.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.jasminehub.core.serving.CallerLimits;
 import org.jasminehub.gateway.net.CallerExchange;
 import org.jasminehub.gateway.net.CallerRequest;
@@ -27,20 +28,32 @@
 
     private final EventLoop loop;
     private final CallerServer server;
+    private final List<CallerServer> otherServers = new ArrayList<>();
     private final Map<String, List<Entry>> logsByTopic = new LinkedHashMap<>();
     private long era = 1;
     private boolean isDown;
 
     InMemoryStore(EventLoop loop) {
         this.loop = loop;
-        this.server = CallerServer.start(
+        this.server = listen(() -> isDown);
+    }
+
+    private CallerServer listen(BooleanSupplier isUnavailable) {
+        return CallerServer.start(
                 loop,
                 new EndpointAddress("127.0.0.1", 0),
                 () -> CallerLimits.DEFAULT,
-                this::handle,
+                (request, answer) -> handle(request, answer, isUnavailable),
                 (status, reason) -> {});
     }
 
+    /** Opens another address of this store, which refuses all calls while {@code isCutOff} is true. */
+    synchronized String openAddress(BooleanSupplier isCutOff) {
+        CallerServer other = listen(() -> isDown || isCutOff.getAsBoolean());
+        otherServers.add(other);
+        return "127.0.0.1:" + other.port();
+    }
+
     String address() {
         return "127.0.0.1:" + server.port();
     }
@@ -83,10 +96,12 @@
 
     void close() {
         server.close();
+        otherServers.forEach(CallerServer::close);
     }
 
-    private synchronized CallerExchange handle(CallerRequest request, CallerResponse answer) {
-        if (isDown) {
+    private synchronized CallerExchange handle(
+            CallerRequest request, CallerResponse answer, BooleanSupplier isUnavailable) {
+        if (isUnavailable.getAsBoolean()) {
             respond(answer, HttpResponseStatus.SERVICE_UNAVAILABLE, new byte[0]);
             return CallerExchange.COMPLETED;
         }
@@ -102,17 +117,18 @@
             long wait = query.parameters().containsKey("wait_ms")
                     ? Long.parseLong(query.parameters().get("wait_ms").get(0))
                     : 0;
-            read(log, Integer.parseInt(query.parameters().get("from").get(0)), wait, answer);
+            read(log, Integer.parseInt(query.parameters().get("from").get(0)), wait, answer, isUnavailable);
         }
         return CallerExchange.COMPLETED;
     }
 
-    private synchronized void read(List<Entry> log, int from, long waitMillis, CallerResponse answer) {
+    private synchronized void read(
+            List<Entry> log, int from, long waitMillis, CallerResponse answer, BooleanSupplier isUnavailable) {
         long step = 10;
-        if (isDown) {
+        if (isUnavailable.getAsBoolean()) {
             answer.abort();
         } else if (log.size() == from && waitMillis > 0) {
-            loop.schedule(() -> read(log, from, waitMillis - step, answer), step, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> read(log, from, waitMillis - step, answer, isUnavailable), step, TimeUnit.MILLISECONDS);
         } else if (from > log.size()) {
             respond(answer, HttpResponseStatus.GONE, "{\"first\":0}".getBytes(StandardCharsets.UTF_8));
         } else {
@@ -122,14 +138,17 @@
 
     private static byte[] newest(List<Entry> log) {
         Map<String, String> items = new LinkedHashMap<>();
+        int offset = 0;
         for (Entry entry : log) {
             items.remove(entry.key());
             if (entry.value().length > 0) {
                 items.put(
                         entry.key(),
                         "{\"key\":\"" + entry.key() + "\",\"value\":\""
-                                + Base64.getEncoder().encodeToString(entry.value()) + "\",\"offset\":0}");
+                                + Base64.getEncoder().encodeToString(entry.value()) + "\",\"offset\":" + offset
+                                + "}");
             }
+            offset++;
         }
         String page =
                 "{\"items\":[" + String.join(",", items.values()) + "],\"has_more\":false,\"end\":" + log.size() + "}";
--- a/gateway/src/test/java/org/jasminehub/gateway/StoreRestoreTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/StoreRestoreTest.java
@@ -130,6 +130,59 @@
         }
     }
 
+    /** The operator's request to evacuate a failure domain, which the copy lacks. */
+    @Nested
+    final class Evacuations {
+        private InMemoryStore.Copy copy;
+
+        private void evacuateAfterCopy() {
+            gateway.configure(1, KEY);
+            gateway.registerIn("a", "e-1", endpointOne.port());
+            gateway.registerIn("b", "e-2", endpointTwo.port());
+            copy = gateway.store().copy();
+            gateway.putEvacuation("a");
+            gateway.configure(2, KEY);
+        }
+
+        private void awaitEvacuated(int domains) {
+            GatewayHarness.await(() -> gateway.gauge("domains.evacuated") == domains);
+        }
+
+        /** Guards against calls to an evacuated domain while the restored store does not show the request. */
+        @Test
+        void testRequestHoldsUntilItIsWrittenAgain() throws IOException {
+            evacuateAfterCopy();
+
+            // The request for another domain shows that the restored store was read. No further read is made until the
+            // lost request has been written again, however long the calls take.
+            gateway.store().restore(copy);
+            gateway.putEvacuation("c");
+            awaitEvacuated(2);
+            gateway.store().setDown(true);
+            for (int call = 1; call <= 6; call++) {
+                script.add(ScriptedEndpoint.ok("x"));
+                assertTrue(gateway.exchange(safe("r-" + call)).startsWith("HTTP/1.1 200"));
+            }
+            assertEquals(0, endpointOne.requests().size());
+
+            gateway.putEvacuation("a");
+            gateway.store().setDown(false);
+            gateway.configure(3, KEY);
+            assertEquals(0, gateway.countEvents(ControlEventKind.EVACUATION_ENDED));
+        }
+
+        @Test
+        void testRequestThatIsNotWrittenAgainEndsOnceTheStoreIsComplete() {
+            evacuateAfterCopy();
+
+            gateway.store().restore(copy);
+            gateway.putConfiguration(2, KEY);
+
+            awaitEvacuated(0);
+            assertTrue(gateway.hasEvent(ControlEventKind.EVACUATION_ENDED, "a"));
+        }
+    }
+
     /** The instance's own registration. */
     @Nested
     final class OwnRegistration {
