--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -142,22 +142,7 @@
                 peers::isCoordinator);
         this.retryBudget = EntrySetup.newRetryBudget(settings, clock);
         this.quarantine = new QuarantineController(client, store, instances, peers, timer, random, clock, events);
-        DomainTraffic traffic = new DomainTraffic(new FailureDomain(settings.failureDomain()), metrics, events);
-        this.dispatcher = new CallDispatcher(
-                loop,
-                clock,
-                client,
-                endpoints,
-                monitors,
-                rateLimits.permits(),
-                loads,
-                EntrySetup.newChoice(settings, loads, clock, random, traffic),
-                traffic,
-                retryBudget,
-                quarantine,
-                service -> service == null || service.engine() == null ? PLAIN_CALLS_PER_SLOT : ENGINE_CALLS_PER_SLOT,
-                random,
-                events);
+        this.dispatcher = createDispatcher(random);
         this.stopSequence = new StopSequence(settings, clock, timer, events);
         this.suspension = new SuspensionDetector(settings.instance(), clock, events, () -> {
             configuration.refresh();
@@ -176,6 +161,25 @@
                 evacuations::isEvacuated);
     }
 
+    private CallDispatcher createDispatcher(RandomGenerator random) {
+        DomainTraffic traffic = new DomainTraffic(new FailureDomain(settings.failureDomain()), metrics, events);
+        return new CallDispatcher(
+                loop,
+                clock,
+                client,
+                endpoints,
+                monitors,
+                rateLimits.permits(),
+                loads,
+                EntrySetup.newChoice(settings, loads, clock, random, traffic),
+                traffic,
+                retryBudget,
+                quarantine,
+                service -> service == null || service.engine() == null ? PLAIN_CALLS_PER_SLOT : ENGINE_CALLS_PER_SLOT,
+                random,
+                events);
+    }
+
     private PeerExchange createPeerExchange() {
         return new PeerExchange(
                 registration,
