Start without command line library and logging set-up; rehearse a real start

Cause: JCommander needs about 0.05 s (class loading times), logging 0.14 s with class logging on, both before the listeners open. The rehearsal did not pass through Main, so 171 classes came from the jar.

A role alone is no longer parsed by JCommander; logging is set up by the log writer's thread and for Netty's first error. The rehearsal starts both programs through Main from settings files, with a stand-in of the store and an endpoint.

--- a/gateway/src/main/java/org/jasminehub/gateway/Main.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/Main.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import com.codahale.metrics.MetricRegistry;
+import io.netty.util.internal.logging.InternalLoggerFactory;
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -14,8 +15,9 @@
 import org.jasminehub.gateway.control.ControlEvent;
 import org.jasminehub.gateway.control.ControlEventKind;
 import org.jasminehub.gateway.telemetry.AsyncEventSink;
+import org.jasminehub.gateway.telemetry.DeferredEventLog;
+import org.jasminehub.gateway.telemetry.DeferredLoggerFactory;
 import org.jasminehub.gateway.telemetry.MeteringEventSink;
-import org.jasminehub.runtime.log.EventLog;
 import org.jasminehub.runtime.settings.SettingsLoader;
 import org.jasminehub.runtime.time.SystemClock;
 import org.jspecify.annotations.Nullable;
@@ -31,6 +33,8 @@
      */
     private static final int LOG_CAPACITY = 2_048;
 
+    static final String ENTRY = "entry";
+    static final String RANK_AGENT = "rank-agent";
     private static final String SETTINGS_VARIABLE = "JASMINEHUB_BOOT";
 
     private final PrintStream err;
@@ -39,7 +43,7 @@
     private List<String> roles = new ArrayList<>();
 
     @Parameter(names = "--settings", description = "path of the settings file; default: JASMINEHUB_BOOT")
-    private @Nullable String settingsPath = System.getenv(SETTINGS_VARIABLE);
+    private @Nullable String settingsPath;
 
     @Parameter(names = "--check", description = "validates the settings file and exits")
     private boolean isCheck;
@@ -53,37 +57,28 @@
     @Parameter(names = "--help", help = true, description = "prints this help")
     private boolean help;
 
-    Main(PrintStream err) {
+    Main(PrintStream err, @Nullable String settingsPath) {
         this.err = err;
+        this.settingsPath = settingsPath;
     }
 
     /** Runs a role until the process is stopped. */
     public static void main(String[] args) {
-        int code = new Main(System.err).run(args);
+        InternalLoggerFactory.setDefaultFactory(new DeferredLoggerFactory());
+        int code = new Main(System.err, System.getenv(SETTINGS_VARIABLE)).run(args);
         if (code != EXIT_OK) {
             System.exit(code);
         }
     }
 
     int run(String... args) {
-        JCommander parser = JCommander.newBuilder()
-                .programName("jasminehub-gateway")
-                .addObject(this)
-                .build();
+        String path = settingsPath;
         try {
-            parser.parse(args);
-            if (help) {
-                parser.usage();
-                return EXIT_OK;
-            }
-            if (isRehearsal) {
-                Rehearsal.run(new SystemClock());
-                System.exit(EXIT_OK);
+            // The usual command line is a role alone. Parsing it with the library would cost 0.05 s of CPU time.
+            if (args.length == 1 && isRole(args[0]) && path != null) {
+                return start(args[0], Path.of(path));
             }
-            if (roles.size() != 1 || settingsPath == null) {
-                throw new ParameterException("exactly one role and a settings file are required");
-            }
-            return start(roles.get(0), Path.of(settingsPath));
+            return runParsed(args);
         } catch (ParameterException e) {
             err.println("jasminehub-gateway: " + e.getMessage());
             return EXIT_USAGE;
@@ -93,19 +88,43 @@
         }
     }
 
+    private static boolean isRole(String argument) {
+        return argument.equals(ENTRY) || argument.equals(RANK_AGENT);
+    }
+
+    private int runParsed(String... args) {
+        JCommander parser = JCommander.newBuilder()
+                .programName("jasminehub-gateway")
+                .addObject(this)
+                .build();
+        parser.parse(args);
+        if (help) {
+            parser.usage();
+            return EXIT_OK;
+        }
+        if (isRehearsal) {
+            Rehearsal.run();
+            System.exit(EXIT_OK);
+        }
+        if (roles.size() != 1 || settingsPath == null) {
+            throw new ParameterException("exactly one role and a settings file are required");
+        }
+        return start(roles.get(0), Path.of(settingsPath));
+    }
+
     private int start(String role, Path path) {
         Clock clock = new SystemClock();
-        if (role.equals("rank-agent")) {
+        if (role.equals(RANK_AGENT)) {
             return startRankAgent(path, clock);
         }
-        if (!role.equals("entry")) {
+        if (!role.equals(ENTRY)) {
             throw new ParameterException("unknown role: " + role);
         }
         GatewaySettings settings = new SettingsLoader().load(path, GatewaySettings.class);
         if (isCheck) {
             return EXIT_OK;
         }
-        AsyncEventSink log = new AsyncEventSink(clock, new EventLog(settings.instance())::emitAt, LOG_CAPACITY);
+        AsyncEventSink log = new AsyncEventSink(clock, new DeferredEventLog(settings.instance())::emitAt, LOG_CAPACITY);
         MetricRegistry metrics = new MetricRegistry();
         EventSink events = new MeteringEventSink(log, metrics);
         EntryProgram program = new EntryProgram(settings, clock, events, metrics);
@@ -123,7 +142,7 @@
         if (isCheck) {
             return EXIT_OK;
         }
-        AsyncEventSink log = new AsyncEventSink(clock, new EventLog(settings.instance())::emitAt, LOG_CAPACITY);
+        AsyncEventSink log = new AsyncEventSink(clock, new DeferredEventLog(settings.instance())::emitAt, LOG_CAPACITY);
         RankAgentProgram program = new RankAgentProgram(settings, clock, log);
         program.start();
         stopOnShutdown(program::stop, log);
--- /dev/null
+++ b/gateway/src/test/java/org/jasminehub/gateway/telemetry/DeferredLoggerFactoryTest.java
@@ -0,0 +1,39 @@
+package org.jasminehub.gateway.telemetry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.read.ListAppender;
+import io.netty.util.internal.logging.InternalLogger;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.slf4j.LoggerFactory;
+
+/** Tests the loggers that Netty gets. */
+final class DeferredLoggerFactoryTest {
+    private static final String NAME = "io.netty.sample";
+
+    /** Guards against errors of Netty that are lost because its loggers are set up late. */
+    @Test
+    void testErrorsAreLoggedAndLowerLevelsAreNot() {
+        Logger target = (Logger) LoggerFactory.getLogger(NAME);
+        ListAppender<ILoggingEvent> appender = new ListAppender<>();
+        appender.start();
+        target.addAppender(appender);
+        InternalLogger logger = new DeferredLoggerFactory().newInstance(NAME);
+        IllegalStateException cause = new IllegalStateException("cause");
+
+        logger.error("failed", cause);
+        logger.error("{} and {}", 1, 2);
+        logger.warn("not logged");
+        target.detachAppender(appender);
+
+        assertFalse(logger.isWarnEnabled());
+        assertEquals(
+                List.of("failed", "1 and 2"),
+                appender.list.stream().map(ILoggingEvent::getFormattedMessage).toList());
+        assertEquals("cause", appender.list.get(0).getThrowableProxy().getMessage());
+    }
+}
