--- a/app/src/main/java/org/jasminehub/app/BenchCommand.java
+++ b/app/src/main/java/org/jasminehub/app/BenchCommand.java
@@ -13,6 +13,7 @@
 import org.jasminehub.bench.experts.ExpertsBench;
 import org.jasminehub.bench.operation.OperationBench;
 import org.jasminehub.bench.routing.RoutingBench;
+import org.jasminehub.bench.start.StartBench;
 
 /** Runs a benchmark and prints its results as a table. */
 @Parameters(commandDescription = "runs a benchmark and prints its results as a table")
@@ -31,6 +32,7 @@
         benches.put("operations", sink -> OperationBench.run(sink, new String[0]));
         benches.put("path", PathBench::run);
         benches.put("routing", sink -> RoutingBench.run(sink));
+        benches.put("start", StartBench::run);
     }
 
     @Override
