Cold times and rates as typed values

Cause: endpoints state cold times in registrations and responses, and the configuration states how long endpoints of a service are cold and how many requests they tolerate; nothing decoded them. Ruled out: rejecting a record with a malformed time, since the rest of the registration or configuration is needed.

--- a/core/src/main/java/org/jasminehub/core/serving/ServiceProfile.java
+++ b/core/src/main/java/org/jasminehub/core/serving/ServiceProfile.java
@@ -9,9 +9,13 @@
  * @param name the name of the service
  * @param connectionLimit the number of connections that an endpoint of the service accepts from all gateways together
  * @param engine the performance of the model engines, null for a service without engines
+ * @param coldStart how the endpoints of the service start, null if they are never cold
  */
 public record ServiceProfile(
-        String name, int connectionLimit, @Nullable EngineProfile engine) {
+        String name,
+        int connectionLimit,
+        @Nullable EngineProfile engine,
+        @Nullable ColdStart coldStart) {
     /** Creates a profile; {@code connectionLimit} must be positive. */
     public ServiceProfile {
         Checks.notBlank("service", name);
