Allowances for cold endpoints

Cause: a cold endpoint crashes if all instances send to it at once, and statuses of peers are up to 300 ms old. Ruled out: permits from one issuer, which need a request and a reply for each call (over a thousand messages a second for a cold domain of 24); time slots by the wall clock, which may be stepped. Change: core/cold.

--- /dev/null
+++ b/core/src/main/java/org/jasminehub/core/cold/package-info.java
@@ -0,0 +1,5 @@
+/** Cold endpoints, and how many requests each instance may send to them without exchanging messages. */
+@NullMarked
+package org.jasminehub.core.cold;
+
+import org.jspecify.annotations.NullMarked;
