Cold endpoints in entry instances

Ruled out: a filter of EndpointController.serving, since concurrency limits of a group also depend on its cold endpoints. Change: ColdEndpointController in gateway/cold follows registrations and responses. EndpointSelector prefers warm endpoints and leaves out those without allowance; CallDispatcher refuses with endpoints-cold if only cold ones without allowance are left, and guards each write. GatewayHarness.countEvents accepts any kind of event. Before and after: services without a cold start take the same path as before; ColdEndpointsTest (9), ColdEndpointsPeersTest (1), CallsTest (18), QuietEndpointsTest (11), ExceededRateLimitTest (6), AnnouncedLeavingTest (15) and ExchangeMonitorTest (2) pass.

--- a/core/src/main/java/org/jasminehub/core/error/ErrorCode.java
+++ b/core/src/main/java/org/jasminehub/core/error/ErrorCode.java
@@ -56,6 +56,8 @@
     ENDPOINTS_QUIET("endpoints-quiet", 503),
     /** All endpoints that serve the route limit the requests that they take, and other calls use up the limits. */
     ENDPOINTS_LIMITED("endpoints-limited", 503),
+    /** All endpoints that serve the route are cold, and this instance may send them nothing now. */
+    ENDPOINTS_COLD("endpoints-cold", 503),
     /** No more attempts are allowed for the request. */
     RETRIES_EXHAUSTED("retries-exhausted", 503),
     /** The endpoint failed before its response was complete. */
--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -27,6 +27,7 @@
 import org.jasminehub.gateway.call.CallPipeline;
 import org.jasminehub.gateway.call.CallSettings;
 import org.jasminehub.gateway.call.ConfigurationView;
+import org.jasminehub.gateway.cold.ColdEndpointController;
 import org.jasminehub.gateway.control.ConfigurationController;
 import org.jasminehub.gateway.control.ControlEvent;
 import org.jasminehub.gateway.control.ControlEventKind;
@@ -85,6 +86,7 @@
     private final EndpointController endpoints;
     private final RateLimitController rateLimits;
     private final EndpointMonitors monitors;
+    private final ColdEndpointController cold;
     private final InstanceRegistration registration;
     private final InstanceDirectory instances;
     private final PeerExchange peers;
@@ -125,6 +127,8 @@
         this.storeReliability = new StoreReliability(eras, instances, registration, peers::isInformed, clock);
         this.rateLimits = new RateLimitController(settings.instance(), peers, timer, clock, events);
         this.monitors = new EndpointMonitors(endpoints, new QuietPeriods(clock), rateLimits, clock, events);
+        this.cold = new ColdEndpointController(
+                settings.instance(), configuration::inForce, endpoints, monitors, peers, timer, clock, events);
         this.experts = new ExpertCoordinator(
                 loop,
                 clock,
@@ -146,6 +150,7 @@
                 endpoints,
                 monitors,
                 rateLimits.permits(),
+                cold,
                 loads,
                 new EndpointChoicePolicy(loads, new FailureDomain(settings.failureDomain()), random),
                 retryBudget,
@@ -154,10 +159,12 @@
                 random,
                 events);
         this.stopSequence = new StopSequence(settings, clock, timer, events);
-        this.suspension = new SuspensionDetector(settings.instance(), clock, events, () -> {
-            configuration.refresh();
-            endpoints.refresh();
-        });
+        this.suspension = new SuspensionDetector(settings.instance(), clock, events, this::readLogsAgain);
+    }
+
+    private void readLogsAgain() {
+        configuration.refresh();
+        endpoints.refresh();
     }
 
     private PeerExchange createPeerExchange() {
@@ -200,7 +207,7 @@
         registerGauges();
         PeerServer.start(loop, EndpointAddress.parse(settings.peerAddress()), peers);
         loop.execute(() -> {
-            configuration.start(this::updateReadiness);
+            configuration.start(this::onConfigurationApplied);
             endpoints.start(
                     this::onEndpointsChanged,
                     endpoint -> client.closeConnections(addressOf(endpoint.host(), endpoint.port())));
@@ -228,6 +235,7 @@
     private void registerGauges() {
         EntryGauges.register(metrics, configuration, endpoints, monitors, client, peers, dispatcher, () -> isReady);
         rateLimits.register(metrics);
+        cold.register(metrics);
         quarantine.register(metrics);
     }
 
@@ -302,8 +310,14 @@
                 .orElse(ExpertLayout.NONE);
     }
 
+    private void onConfigurationApplied() {
+        cold.onChanged();
+        updateReadiness();
+    }
+
     private void onEndpointsChanged() {
         rateLimits.onRegistrations(endpoints.all());
+        cold.onChanged();
         dispatcher.dispatchQueued();
         updateReadiness();
     }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
@@ -25,6 +25,7 @@
 import org.jasminehub.core.serving.EndpointRecord;
 import org.jasminehub.core.serving.GroupSeat;
 import org.jasminehub.core.time.Clock;
+import org.jasminehub.gateway.cold.ColdEndpointController;
 import org.jasminehub.gateway.control.EndpointController;
 import org.jasminehub.gateway.control.EndpointMonitors;
 import org.jasminehub.gateway.net.ConnectionUse;
@@ -55,6 +56,7 @@
     private final EndpointMonitors monitors;
     private final QuietPeriods quiet;
     private final RatePermits permits;
+    private final ColdEndpointController cold;
     private final EndpointLoads loads;
     private final EndpointSelector selector;
     private final CallRetryBudget retryBudget;
@@ -74,6 +76,7 @@
             EndpointController endpoints,
             EndpointMonitors monitors,
             RatePermits permits,
+            ColdEndpointController cold,
             EndpointLoads loads,
             EndpointChoicePolicy choicePolicy,
             CallRetryBudget retryBudget,
@@ -88,6 +91,7 @@
         this.monitors = monitors;
         this.quiet = monitors.quietPeriods();
         this.permits = permits;
+        this.cold = cold;
         this.loads = loads;
         this.retryBudget = retryBudget;
         this.quarantine = quarantine;
@@ -102,6 +106,7 @@
                 groupBackoff,
                 concurrency,
                 permits,
+                cold,
                 this::after,
                 this::dispatchQueued);
     }
@@ -163,6 +168,12 @@
         retryBudget.onCall(call.service());
     }
 
+    void onRefused(ErrorCode code) {
+        if (code == ErrorCode.ENDPOINTS_COLD) {
+            cold.onRefused();
+        }
+    }
+
     void onDone(RunningCall call) {
         running.remove(call);
         queue(call.service()).remove(call);
@@ -183,7 +194,7 @@
         if (!serving.isEmpty()) {
             OptionalLong retryAfterMillis = quiet.retryAfterMillis(serving, random.nextDouble());
             return retryAfterMillis.isEmpty()
-                    ? Optional.empty()
+                    ? onlyCold(service, serving)
                     : Optional.of(Refusal.retryable(
                             ErrorCode.ENDPOINTS_QUIET,
                             retryAfterMillis.getAsLong(),
@@ -199,6 +210,17 @@
                                 ErrorCode.NO_ENDPOINT, NO_ENDPOINT_RETRY_MILLIS, "no endpoint of " + service));
     }
 
+    /** Returns the refusal of calls if all of {@code serving} are cold and none may be sent to, else empty. */
+    private Optional<Refusal> onlyCold(String service, List<EndpointRecord> serving) {
+        OptionalLong retryAfterMillis = cold.retryAfterMillis(service, serving, random::nextDouble);
+        return retryAfterMillis.isEmpty()
+                ? Optional.empty()
+                : Optional.of(Refusal.retryable(
+                        ErrorCode.ENDPOINTS_COLD,
+                        retryAfterMillis.getAsLong(),
+                        "all endpoints of " + service + " are cold and get no more requests for now"));
+    }
+
     /** Returns whether any endpoint of {@code service} is registered, also one that accepts no calls. */
     private boolean hasEndpoints(String service) {
         return !endpoints.serving(service).isEmpty()
@@ -208,7 +230,7 @@
 
     Exchange send(EndpointRecord endpoint, FullHttpRequest request, ConnectionUse use, ResponseSink sink) {
         EndpointAddress address = new EndpointAddress(endpoint.host(), endpoint.port());
-        return client.send(address, request, use, sink, monitors.forCall(endpoint));
+        return client.send(address, request, use, sink, cold.guard(endpoint, monitors.forCall(endpoint)));
     }
 
     /** Returns whether the call is likely to get capacity within {@code maxWaitMillis}. */
--- a/gateway/src/main/java/org/jasminehub/gateway/call/EndpointSelector.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/EndpointSelector.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
 import org.jasminehub.core.balance.EndpointChoicePolicy;
 import org.jasminehub.core.balance.EndpointLoads;
 import org.jasminehub.core.balance.GroupBackoff;
@@ -14,12 +15,13 @@
 import org.jasminehub.core.serving.EndpointRecord;
 import org.jasminehub.core.serving.EngineProfile;
 import org.jasminehub.core.serving.ServiceProfile;
+import org.jasminehub.gateway.cold.ColdEndpointController;
 import org.jasminehub.gateway.control.DelayedRunner;
 import org.jasminehub.gateway.control.EndpointController;
 
 /** Selects the endpoints that calls are sent to. Must be used on the process's event loop only. */
 final class EndpointSelector {
-    /** Interval at which queued calls are reconsidered while endpoints are quiet or start slowly. */
+    /** Interval at which queued calls are reconsidered while endpoints are quiet, start slowly or have no allowance. */
     private static final long QUIET_TICK_MILLIS = 50;
 
     /** Permits that a call requests at a time if no endpoint may take it now; the first may be a long time off. */
@@ -32,6 +34,7 @@
     private final GroupBackoff groupBackoff;
     private final ConcurrencyLimits concurrency;
     private final RatePermits permits;
+    private final ColdEndpointController cold;
     private final DelayedRunner timer;
     private final Runnable dispatchQueued;
     private boolean isQuietTickDue;
@@ -49,6 +52,7 @@
             GroupBackoff groupBackoff,
             ConcurrencyLimits concurrency,
             RatePermits permits,
+            ColdEndpointController cold,
             DelayedRunner timer,
             Runnable dispatchQueued) {
         this.endpoints = endpoints;
@@ -58,6 +62,7 @@
         this.groupBackoff = groupBackoff;
         this.concurrency = concurrency;
         this.permits = permits;
+        this.cold = cold;
         this.timer = timer;
         this.dispatchQueued = dispatchQueued;
     }
@@ -72,6 +77,30 @@
         ToDoubleFunction<EndpointId> maxCallsPerSlot = maxCallsPerSlot(call, queue, serving);
         List<EndpointRecord> candidates =
                 serving.stream().filter(this::isPastQuietPeriod).toList();
+        return cold.hasColdStart(call.service())
+                ? chooseWarmFirst(call, candidates, maxCallsPerSlot)
+                : chooseAmong(call, candidates, maxCallsPerSlot);
+    }
+
+    /** Cold endpoints are slower, so they get only the calls for which no warm one has capacity. */
+    private Optional<EndpointRecord> chooseWarmFirst(
+            RunningCall call, List<EndpointRecord> candidates, ToDoubleFunction<EndpointId> maxCallsPerSlot) {
+        Map<Boolean, List<EndpointRecord>> allowedByCold =
+                candidates.stream().filter(cold::maySend).collect(Collectors.partitioningBy(cold::isCold));
+        List<EndpointRecord> warm = allowedByCold.getOrDefault(false, List.of());
+        List<EndpointRecord> coldOnes = allowedByCold.getOrDefault(true, List.of());
+        Optional<EndpointRecord> chosen = chooseAmong(call, warm, maxCallsPerSlot);
+        if (chosen.isEmpty()) {
+            chosen = chooseAmong(call, coldOnes, maxCallsPerSlot);
+        }
+        if (chosen.isEmpty() && warm.size() + coldOnes.size() < candidates.size()) {
+            scheduleQuietTick();
+        }
+        return chosen;
+    }
+
+    private Optional<EndpointRecord> chooseAmong(
+            RunningCall call, List<EndpointRecord> candidates, ToDoubleFunction<EndpointId> maxCallsPerSlot) {
         if (candidates.stream().noneMatch(permits::isLimited)) {
             return choicePolicy.choose(candidates, call.triedEndpoints(), maxCallsPerSlot);
         }
@@ -107,11 +136,17 @@
 
     private boolean isPastQuietPeriod(EndpointRecord endpoint) {
         boolean isAccepted = quiet.accepts(endpoint);
-        if (!isAccepted && !isQuietTickDue) {
+        if (!isAccepted) {
+            scheduleQuietTick();
+        }
+        return isAccepted;
+    }
+
+    private void scheduleQuietTick() {
+        if (!isQuietTickDue) {
             isQuietTickDue = true;
             timer.runAfter(QUIET_TICK_MILLIS, this::onQuietTick);
         }
-        return isAccepted;
     }
 
     private void onQuietTick() {
--- a/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
@@ -311,6 +311,7 @@
             response = Refusal.retryable(
                     ErrorCode.DEADLINE_UNREACHABLE, dispatcher.retryAfterMillis(service()), refusal.reason());
         }
+        dispatcher.onRefused(response.code());
         end(
                 CallEventKind.CALL_REFUSED,
                 isHeadSent ? 0 : response.status(),
--- a/gateway/src/main/java/org/jasminehub/gateway/control/EndpointController.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/EndpointController.java
@@ -50,6 +50,7 @@
     private Map<String, List<EndpointRecord>> servingByService = Map.of();
     private Runnable onChanged = () -> {};
     private Consumer<EndpointRecord> onUnavailable = endpoint -> {};
+    private Consumer<EndpointRegistration> onRegistration = registration -> {};
 
     /** Creates a controller without endpoints. */
     public EndpointController(
@@ -92,6 +93,11 @@
         follower.restart();
     }
 
+    /** Passes each accepted registration to {@code observer}, before the change that it causes is published. */
+    public void observeRegistrations(Consumer<EndpointRegistration> observer) {
+        onRegistration = observer;
+    }
+
     /** Reads the log again at once, because the registrations may be older than their recorded age. */
     public void refresh() {
         follower.restart();
@@ -221,6 +227,7 @@
                 return;
             }
             history.onAccepted(registration);
+            onRegistration.accept(registration);
             expiredAtMillis.remove(id);
             EndpointRecord previous = endpoints.put(id, decoded);
             if (previous != null && !previous.isSameIncarnation(decoded)) {
--- a/gateway/src/main/java/org/jasminehub/gateway/control/EndpointMonitors.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/EndpointMonitors.java
@@ -4,11 +4,13 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import org.jasminehub.core.balance.QuietPeriods;
 import org.jasminehub.core.balance.QuietRequest;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.ratelimit.StatedRateLimit;
+import org.jasminehub.core.serving.ColdTime;
 import org.jasminehub.core.serving.EndpointIncarnation;
 import org.jasminehub.core.serving.EndpointRecord;
 import org.jasminehub.core.time.Clock;
@@ -27,6 +29,7 @@
     private final RateLimitObserver rateLimits;
     private final Clock clock;
     private final EventSink events;
+    private BiConsumer<EndpointIncarnation, ColdTime> onColdTime = (endpoint, time) -> {};
     private long withheld;
 
     /** Creates monitors that report to {@code endpoints}, {@code quiet} and {@code rateLimits}. */
@@ -43,6 +46,11 @@
         this.events = events;
     }
 
+    /** Passes the cold times that responses state to {@code observer}. */
+    public void observeColdTimes(BiConsumer<EndpointIncarnation, ColdTime> observer) {
+        onColdTime = observer;
+    }
+
     /** Returns the endpoints that asked to be sent nothing for some time. */
     public QuietPeriods quietPeriods() {
         return quiet;
@@ -100,6 +108,10 @@
         }
         ResponseHeaders parsed = ResponseHeadersAdapter.decode(status, headers);
         respondent(expected, status, parsed).ifPresent(endpoint -> onRateLimit(endpoint, sentMillis, parsed));
+        ColdTime coldTime = parsed.coldTime();
+        if (coldTime.kind() != ColdTime.Kind.NOT_STATED) {
+            respondent(expected, status, parsed).ifPresent(endpoint -> onColdTime.accept(endpoint, coldTime));
+        }
         QuietRequest request = parsed.quietRequest();
         if (request != null) {
             respondent(expected, status, parsed).ifPresent(endpoint -> onQuietRequested(endpoint, request));
--- a/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import org.jasminehub.core.event.Event;
+import org.jasminehub.core.event.EventKind;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.gateway.call.AttemptFailed;
 import org.jasminehub.gateway.call.CallEnded;
@@ -223,7 +224,7 @@
                 .toList();
     }
 
-    long countEvents(ControlEventKind kind) {
+    long countEvents(EventKind kind) {
         return events.stream().filter(event -> event.kind() == kind).count();
     }
 
