--- a/core/src/main/java/org/jasminehub/core/error/ErrorCode.java
+++ b/core/src/main/java/org/jasminehub/core/error/ErrorCode.java
@@ -58,6 +58,8 @@
     ENDPOINTS_LIMITED("endpoints-limited", 503),
     /** The operator evacuates the failure domains of all endpoints that serve the route. */
     DOMAIN_EVACUATED("domain-evacuated", 503),
+    /** All endpoints that serve the route are cold, and this instance may send them nothing now. */
+    ENDPOINTS_COLD("endpoints-cold", 503),
     /** No more attempts are allowed for the request. */
     RETRIES_EXHAUSTED("retries-exhausted", 503),
     /** The endpoint failed before its response was complete. */
--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -27,6 +27,7 @@
 import org.jasminehub.gateway.call.CallSettings;
 import org.jasminehub.gateway.call.ConfigurationView;
 import org.jasminehub.gateway.call.DomainTraffic;
+import org.jasminehub.gateway.cold.ColdEndpointController;
 import org.jasminehub.gateway.control.ConfigurationController;
 import org.jasminehub.gateway.control.ControlEvent;
 import org.jasminehub.gateway.control.ControlEventKind;
@@ -86,6 +87,7 @@
     private final EndpointController endpoints;
     private final RateLimitController rateLimits;
     private final EndpointMonitors monitors;
+    private final ColdEndpointController cold;
     private final InstanceRegistration registration;
     private final InstanceDirectory instances;
     private final PeerExchange peers;
@@ -128,6 +130,8 @@
         this.rateLimits = new RateLimitController(settings.instance(), peers, timer, clock, events);
         this.monitors =
                 new EndpointMonitors(endpoints, new QuietPeriods(clock), rateLimits, evacuations, clock, events);
+        this.cold = new ColdEndpointController(
+                settings.instance(), configuration::inForce, endpoints, monitors, peers, timer, clock, events);
         this.experts = new ExpertCoordinator(
                 loop,
                 clock,
@@ -170,6 +174,7 @@
                 endpoints,
                 monitors,
                 rateLimits.permits(),
+                cold,
                 loads,
                 EntrySetup.newChoice(settings, loads, clock, random, traffic),
                 traffic,
@@ -221,7 +226,7 @@
         PeerServer.start(loop, EndpointAddress.parse(settings.peerAddress()), peers);
         loop.execute(() -> {
             evacuations.start(endpoints, peers::addExtension);
-            configuration.start(this::updateReadiness);
+            configuration.start(this::onConfigurationApplied);
             endpoints.start(
                     this::onEndpointsChanged,
                     endpoint -> client.closeConnections(addressOf(endpoint.host(), endpoint.port())));
@@ -250,6 +255,7 @@
         EntryGauges.register(metrics, configuration, endpoints, monitors, client, peers, dispatcher, () -> isReady);
         rateLimits.register(metrics);
         evacuations.register(metrics);
+        cold.register(metrics);
         quarantine.register(metrics);
     }
 
@@ -324,9 +330,15 @@
                 .orElse(ExpertLayout.NONE);
     }
 
+    private void onConfigurationApplied() {
+        cold.onChanged();
+        updateReadiness();
+    }
+
     private void onEndpointsChanged() {
         rateLimits.onRegistrations(endpoints.all());
         evacuations.onRegistrations(endpoints.all());
+        cold.onChanged();
         dispatcher.dispatchQueued();
         updateReadiness();
     }
