Count the calls to the store by log and kind

Ruled out: counting by the text of the request in the gateway, since names of the platform belong to `platform` only. Change: StoreClient reports each call with its log and kind; an entry instance counts them in the metrics `store.calls.LOG.KIND`. StoreCallsTest runs 12 entry instances and 18 rank agents before the in-memory store, which now counts what it receives, and prints the calls by log, kind and role. Before and after: no call changes. Agents only append, once each at their start. Changes to existing test code: InMemoryStore counts calls (addition only).

--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -44,7 +44,6 @@
 import org.jasminehub.gateway.net.CallerServer;
 import org.jasminehub.gateway.net.EndpointAddress;
 import org.jasminehub.gateway.net.EndpointClient;
-import org.jasminehub.gateway.net.StoreConnection;
 import org.jasminehub.gateway.peer.PeerServer;
 import org.jasminehub.gateway.quarantine.QuarantineController;
 import org.jasminehub.gateway.ratelimit.RateLimitController;
@@ -110,8 +109,7 @@
         this.timer = (delayMillis, action) -> loop.schedule(action, delayMillis, TimeUnit.MILLISECONDS);
         this.client = new EndpointClient(loop, clock);
         this.eras = new EraTracker(clock);
-        StoreClient store =
-                new StoreClient(new StoreConnection(client, EndpointAddress.parse(settings.storeAddress())), eras);
+        StoreClient store = EntrySetup.newStore(settings, client, eras, metrics);
         RandomGenerator random = new SplittableRandom(settings.instance().hashCode() ^ clock.wallMillis());
         this.configuration = new ConfigurationController(
                 store, StoreReads.configuration(this::instanceCount), timer, clock, events, eras);
--- a/gateway/src/main/java/org/jasminehub/gateway/RankAgentProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/RankAgentProgram.java
@@ -71,6 +71,11 @@
                 0));
     }
 
+    /** Returns the event loop that runs the agent. */
+    EventLoop loop() {
+        return loop;
+    }
+
     void stop() {
         // The registration is kept because the agent runs permanently on the engine's machine and restarts there.
         events.emit(new ControlEvent(ControlEventKind.PROCESS_STOPPED, settings.instance(), "", 0));
--- a/gateway/src/test/java/org/jasminehub/gateway/InMemoryStore.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/InMemoryStore.java
@@ -13,6 +13,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import org.jasminehub.core.serving.CallerLimits;
 import org.jasminehub.gateway.net.CallerExchange;
@@ -28,6 +29,7 @@
     private final EventLoop loop;
     private final CallerServer server;
     private final Map<String, List<Entry>> logsByTopic = new LinkedHashMap<>();
+    private final Map<String, Integer> callsByTopicAndKind = new TreeMap<>();
     private long era = 1;
     private boolean isDown;
 
@@ -76,6 +78,25 @@
                 .count();
     }
 
+    /** Returns the calls received since the start, also refused ones, by topic, kind and key of an append. */
+    synchronized Map<String, Integer> calls() {
+        return Map.copyOf(callsByTopicAndKind);
+    }
+
+    private void count(String topic, QueryStringDecoder query, CallerRequest request) {
+        boolean isAppend = HttpMethod.POST.equals(request.method());
+        String kind = query.path().equals("/log-newest") ? "newest" : isAppend ? "append " + key(request) : "read";
+        callsByTopicAndKind.merge(topic + " " + kind, 1, Integer::sum);
+    }
+
+    private static String key(CallerRequest request) {
+        ByteBuffer buffer = ByteBuffer.wrap(request.body());
+        buffer.getInt();
+        byte[] key = new byte[buffer.get()];
+        buffer.get(key);
+        return new String(key, StandardCharsets.UTF_8);
+    }
+
     /** Sets whether the store refuses all calls. */
     synchronized void setDown(boolean down) {
         isDown = down;
@@ -86,12 +107,13 @@
     }
 
     private synchronized CallerExchange handle(CallerRequest request, CallerResponse answer) {
+        QueryStringDecoder query = new QueryStringDecoder(request.uri());
+        String topic = query.parameters().get("topic").get(0);
+        count(topic, query, request);
         if (isDown) {
             respond(answer, HttpResponseStatus.SERVICE_UNAVAILABLE, new byte[0]);
             return CallerExchange.COMPLETED;
         }
-        QueryStringDecoder query = new QueryStringDecoder(request.uri());
-        String topic = query.parameters().get("topic").get(0);
         List<Entry> log = logsByTopic.computeIfAbsent(topic, name -> new ArrayList<>());
         if (query.path().equals("/log-newest")) {
             respond(answer, HttpResponseStatus.OK, newest(log));
