Read the log of instances in batches

Cause: a read of this log returned with each single record, so after a mass start or a restore every entry instance read once for almost every registration. Ruled out: a pause of 1 s, which would let new peers and agents be known later than the 0.9 s after which a silent peer is no longer offered to callers; a pause before the first record, which would delay every change. Change: FollowerSettings states a pause after a read that returned new records (250 ms for the log of instances, none for the others). The configuration and the registrations of endpoints are read as before.

--- a/gateway/src/main/java/org/jasminehub/gateway/StoreReads.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/StoreReads.java
@@ -17,6 +17,13 @@
     /** Other instances rarely start or stop, so a read may wait for several seconds. */
     private static final long INSTANCE_WAIT_MILLIS = 8_000;
 
+    /**
+     * A mass start or a restore makes all instances and agents register within about two seconds. Reading each
+     * registration for itself took one call for each registration and instance; this is a few calls for each instance,
+     * and well below the 0.9 s after which a silent peer is no longer offered to callers.
+     */
+    private static final long INSTANCE_BATCH_MILLIS = 250;
+
     private StoreReads() {}
 
     /** Returns the reads of the configuration in a fleet of {@code instances}. */
@@ -32,6 +39,6 @@
 
     /** Returns the reads of the instances' registrations. */
     static FollowerSettings instances() {
-        return FollowerSettings.waiting(() -> INSTANCE_WAIT_MILLIS, TIMEOUT_MILLIS);
+        return FollowerSettings.batching(() -> INSTANCE_WAIT_MILLIS, INSTANCE_BATCH_MILLIS, TIMEOUT_MILLIS);
     }
 }
--- a/gateway/src/main/java/org/jasminehub/gateway/control/LogFollower.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/LogFollower.java
@@ -170,7 +170,11 @@
         if (eras.isCompleteSince(requestedAt.monotonicMillis()) && listener.isUpToDate()) {
             age.confirm(confirmedAt(requestedAt, waitMillis, slice));
         }
-        timer.runAfter(settings.pauseMillis(), () -> read(readGeneration));
+        // The read after a snapshot follows at once, since records may have been appended meanwhile.
+        boolean hasNewRecords = waitMillis != NO_WAIT && !slice.records().isEmpty();
+        timer.runAfter(
+                hasNewRecords ? settings.pauseAfterRecordsMillis() : settings.pauseMillis(),
+                () -> read(readGeneration));
     }
 
     /**
--- a/gateway/src/test/java/org/jasminehub/gateway/StoreCallsTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/StoreCallsTest.java
@@ -184,11 +184,14 @@
         int before = calls(INSTANCE_READS);
         int registrations = registerMany();
         awaitPolls(1);
-        System.out.println(registrations + " registrations: instance reads " + (calls(INSTANCE_READS) - before));
+        int reads = calls(INSTANCE_READS) - before;
+        System.out.println(registrations + " registrations: instance reads " + reads);
 
         assertEquals(0, steady.getOrDefault(INSTANCE_APPENDS + "agent", 0), "agents write only when they start");
         assertTrue(steady.get(CONFIGURATION_READS) <= steady.get(ENDPOINT_READS), steady::toString);
         assertTrue(steady.get(INSTANCE_READS) <= 3 * ENTRIES, steady::toString);
+        // One read for each registration would be 30 for each instance.
+        assertTrue(reads <= registrations * ENTRIES / 2, reads + " reads");
     }
 
     @Test
--- /dev/null
+++ b/gateway/src/test/java/org/jasminehub/gateway/control/LogFollowerTest.java
@@ -0,0 +1,83 @@
+package org.jasminehub.gateway.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.jasminehub.platform.hosted.KeyedRecord;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Tests when a follower sends its reads. */
+final class LogFollowerTest {
+    private static final long WAIT_MILLIS = 8_000;
+    private static final long BATCH_MILLIS = 250;
+    private static final long TIMEOUT_MILLIS = 600;
+
+    private final ScriptedStore store = new ScriptedStore();
+    private final List<String> keys = new ArrayList<>();
+    private final LogFollower.Listener listener = new LogFollower.Listener() {
+        @Override
+        public void onSnapshot(List<KeyedRecord> records) {
+            onRecords(records);
+        }
+
+        @Override
+        public void onRecords(List<KeyedRecord> records) {
+            records.forEach(each -> keys.add(each.key()));
+        }
+    };
+
+    /** Reads that batch records; guards against a read for each registration after a mass start. */
+    @Nested
+    final class Batching {
+        @BeforeEach
+        void start() {
+            store.follow(FollowerSettings.batching(() -> WAIT_MILLIS, BATCH_MILLIS, TIMEOUT_MILLIS), listener)
+                    .restart();
+        }
+
+        @Test
+        void testTheReadAfterTheSnapshotFollowsAtOnce() {
+            store.answerEmptySnapshot();
+
+            assertEquals(1, store.reads.size());
+            assertTrue(store.reads.element().uri().contains("wait_ms=8000"));
+        }
+
+        @Test
+        void testFirstRecordIsAppliedAtOnceAndTheNextReadFollowsAfterTheBatchTime() {
+            store.answerEmptySnapshot();
+            store.answerRecords("a");
+
+            assertEquals(List.of("a"), keys);
+            store.advance(BATCH_MILLIS - 1);
+            assertEquals(0, store.reads.size());
+            store.advance(1);
+            assertEquals(1, store.reads.size());
+            store.answerRecords("b", "c", "d");
+            assertEquals(List.of("a", "b", "c", "d"), keys);
+        }
+
+        @Test
+        void testAReadWithoutRecordsIsFollowedByTheNextAtOnce() {
+            store.answerEmptySnapshot();
+            store.advance(WAIT_MILLIS);
+            store.answerRecords();
+
+            assertEquals(1, store.reads.size());
+        }
+    }
+
+    @Test
+    void testWaitingReadsFollowEachRecordAtOnce() {
+        store.follow(FollowerSettings.waiting(() -> WAIT_MILLIS, TIMEOUT_MILLIS), listener)
+                .restart();
+        store.answerEmptySnapshot();
+        store.answerRecords("a");
+
+        assertEquals(1, store.reads.size());
+    }
+}
