--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -15,20 +15,16 @@
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.identity.FailureDomain;
 import org.jasminehub.core.serving.CallerLimits;
-import org.jasminehub.core.serving.EngineProfile;
-import org.jasminehub.core.serving.ExpertLayout;
 import org.jasminehub.core.serving.RouteTable;
-import org.jasminehub.core.serving.ServiceProfile;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.gateway.call.CallDispatcher;
-import org.jasminehub.gateway.call.CallEnded;
-import org.jasminehub.gateway.call.CallEventKind;
 import org.jasminehub.gateway.call.CallPipeline;
 import org.jasminehub.gateway.call.CallSettings;
 import org.jasminehub.gateway.call.ConfigurationView;
 import org.jasminehub.gateway.call.DomainTraffic;
 import org.jasminehub.gateway.cold.ColdEndpointController;
 import org.jasminehub.gateway.control.ConfigurationController;
+import org.jasminehub.gateway.control.ConfigurationReads;
 import org.jasminehub.gateway.control.ControlEvent;
 import org.jasminehub.gateway.control.ControlEventKind;
 import org.jasminehub.gateway.control.DelayedRunner;
@@ -46,7 +42,6 @@
 import org.jasminehub.gateway.net.CallerServer;
 import org.jasminehub.gateway.net.EndpointAddress;
 import org.jasminehub.gateway.net.EndpointClient;
-import org.jasminehub.gateway.net.StoreConnection;
 import org.jasminehub.gateway.peer.PeerServer;
 import org.jasminehub.gateway.quarantine.QuarantineController;
 import org.jasminehub.gateway.ratelimit.RateLimitController;
@@ -114,12 +109,19 @@
         this.timer = (delayMillis, action) -> loop.schedule(action, delayMillis, TimeUnit.MILLISECONDS);
         this.client = new EndpointClient(loop, clock);
         this.eras = new EraTracker(clock);
-        StoreClient store =
-                new StoreClient(new StoreConnection(client, EndpointAddress.parse(settings.storeAddress())), eras);
+        StoreClient store = EntrySetup.newStore(settings, client, eras, metrics);
         RandomGenerator random = new SplittableRandom(settings.instance().hashCode() ^ clock.wallMillis());
         this.evacuations = new EvacuationController(eras, clock, events);
+        ConfigurationReads reads = new ConfigurationReads(settings.instance(), eras, clock);
         this.configuration = new ConfigurationController(
-                store, StoreReads.configuration(this::instanceCount), timer, clock, events, eras, evacuations);
+                store,
+                reads,
+                StoreReads.configuration(reads, this::instanceCount),
+                timer,
+                clock,
+                events,
+                eras,
+                evacuations);
         this.endpoints = createEndpointController(store);
         this.registration =
                 new InstanceRegistration(EntrySetup.self(settings, clock), store, timer, events, eras, random);
@@ -138,7 +140,7 @@
                 timer,
                 events,
                 instances::rankAgents,
-                this::expertLayout,
+                () -> EntrySetup.expertLayout(configuration.inForce()),
                 client,
                 endpoints::all,
                 monitors::forEngine,
@@ -294,42 +296,13 @@
                 EndpointAddress.parse(address),
                 () -> configuration.inForce().map(RouteTable::limits).orElse(CallerLimits.DEFAULT),
                 handler,
-                this::onMalformed);
-    }
-
-    private void onMalformed(int status, String reason) {
-        events.emit(new CallEnded(
-                CallEventKind.REQUEST_MALFORMED,
-                "",
-                "",
-                "",
-                status,
-                "request-malformed",
-                reason,
-                "",
-                0,
-                0,
-                0,
-                -1,
-                0,
-                configuration.inForce().map(RouteTable::version).orElse(0L),
-                configuration.ageMillis()));
+                new MalformedRequestLog(events, configuration)::onMalformed);
     }
 
     private static EndpointAddress addressOf(String host, int port) {
         return new EndpointAddress(host, port);
     }
 
-    private ExpertLayout expertLayout() {
-        return configuration.inForce().stream()
-                .flatMap(table -> table.services().values().stream())
-                .map(ServiceProfile::engine)
-                .filter(engine -> engine != null && engine.experts().isPlaceable())
-                .map(EngineProfile::experts)
-                .findFirst()
-                .orElse(ExpertLayout.NONE);
-    }
-
     private void onConfigurationApplied() {
         cold.onChanged();
         updateReadiness();
@@ -358,6 +331,7 @@
 
     private void tick() {
         suspension.check();
+        configuration.checkReads(peers::liveInstances);
         client.closeIdle();
         updateReadiness();
         timer.runAfter(TICK_INTERVAL_MILLIS, this::tick);
--- a/gateway/src/main/java/org/jasminehub/gateway/EntrySetup.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntrySetup.java
@@ -1,20 +1,30 @@
 package org.jasminehub.gateway;
 
+import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.jasminehub.core.balance.CallRetryBudget;
 import org.jasminehub.core.balance.EndpointChoicePolicy;
 import org.jasminehub.core.balance.EndpointLoads;
+import org.jasminehub.core.era.EraTracker;
 import org.jasminehub.core.identity.FailureDomain;
 import org.jasminehub.core.locality.DomainAwareChoice;
 import org.jasminehub.core.locality.LocalitySettings;
+import org.jasminehub.core.serving.EngineProfile;
+import org.jasminehub.core.serving.ExpertLayout;
+import org.jasminehub.core.serving.RouteTable;
+import org.jasminehub.core.serving.ServiceProfile;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.gateway.call.DomainTraffic;
 import org.jasminehub.gateway.net.EndpointAddress;
+import org.jasminehub.gateway.net.EndpointClient;
+import org.jasminehub.gateway.net.StoreConnection;
+import org.jasminehub.platform.hosted.StoreClient;
 import org.jasminehub.wire.generated.InstanceRecord;
 
 /** Creates the parts of an entry instance that depend on its settings alone. */
@@ -53,6 +63,25 @@
                 traffic::onSpilloverChanged);
     }
 
+    static StoreClient newStore(
+            GatewaySettings settings, EndpointClient client, EraTracker eras, MetricRegistry metrics) {
+        return new StoreClient(
+                new StoreConnection(client, EndpointAddress.parse(settings.storeAddress())),
+                eras,
+                new StoreCallMetrics(metrics));
+    }
+
+    /** Returns the expert layout of the first service with experts to place. */
+    static ExpertLayout expertLayout(Optional<RouteTable> table) {
+        return table.stream()
+                .flatMap(each -> each.services().values().stream())
+                .map(ServiceProfile::engine)
+                .filter(engine -> engine != null && engine.experts().isPlaceable())
+                .map(EngineProfile::experts)
+                .findFirst()
+                .orElse(ExpertLayout.NONE);
+    }
+
     static EventLoop newLoop() {
         return new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("gateway"), NioIoHandler.newFactory())
                 .next();
--- a/gateway/src/main/java/org/jasminehub/gateway/control/ConfigurationController.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/ConfigurationController.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.jasminehub.core.balance.StateAge;
 import org.jasminehub.core.era.EraTracker;
 import org.jasminehub.core.event.EventSink;
@@ -25,6 +26,7 @@
     private static final long MAX_PEER_AGE_MILLIS = 60_000;
 
     private final EventSink events;
+    private final ConfigurationReads reads;
     private final LogFollower follower;
     private @Nullable RouteTable inForce;
     private byte @Nullable [] bytesInForce;
@@ -40,6 +42,7 @@
      */
     public ConfigurationController(
             StoreClient store,
+            ConfigurationReads reads,
             FollowerSettings settings,
             DelayedRunner timer,
             Clock clock,
@@ -47,6 +50,7 @@
             EraTracker eras,
             OperatorLogListener listener) {
         this.events = events;
+        this.reads = reads;
         this.follower = new LogFollower(
                 store, StoreTopic.CONFIGURATION, settings, timer, clock, events, eras, new LogFollower.Listener() {
                     @Override
@@ -84,6 +88,21 @@
         follower.restart();
     }
 
+    /** Reads the log once without waiting, so that the age is confirmed within a round trip. */
+    void readNow() {
+        follower.readNow();
+    }
+
+    /** Adapts the reads to the {@code live} instances; called several times a second. */
+    public void checkReads(Supplier<List<PeerState>> live) {
+        reads.check(live, this);
+    }
+
+    /** Returns whether to confirm the age of a peer that states {@code peerAgeMillis}. */
+    boolean answers(long peerAgeMillis) {
+        return reads.answers(peerAgeMillis);
+    }
+
     /** Returns the configuration in force, or empty before the first one has been received. */
     public Optional<RouteTable> inForce() {
         return Optional.ofNullable(inForce);
@@ -117,9 +136,13 @@
      */
     public void onPeerConfirmation(StateAge.ClockReading requestedAt, long peerAgeMillis) {
         if (peerAgeMillis >= 0 && peerAgeMillis < MAX_PEER_AGE_MILLIS) {
+            long previousMillis = ageMillis();
             follower.age()
                     .confirm(new StateAge.ClockReading(
                             requestedAt.monotonicMillis() - peerAgeMillis, requestedAt.wallMillis() - peerAgeMillis));
+            if (ageMillis() < previousMillis) {
+                reads.onPeerConfirmation();
+            }
         }
     }
 
--- a/gateway/src/main/java/org/jasminehub/gateway/control/LogFollower.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/LogFollower.java
@@ -117,6 +117,12 @@
         read(generation);
     }
 
+    /** Abandons the current read, and reads once without waiting before the usual reads go on. */
+    void readNow() {
+        generation++;
+        read(generation, 0);
+    }
+
     void stop() {
         isStopped = true;
         generation++;
@@ -136,12 +142,17 @@
     }
 
     private void read(int readGeneration) {
-        if (isStopped || readGeneration != generation) {
+        if (!isStopped && readGeneration == generation) {
+            read(readGeneration, settings.waitMillis().getAsLong());
+        }
+    }
+
+    private void read(int readGeneration, long waitMillis) {
+        if (isStopped) {
             return;
         }
         StateAge.ClockReading requestedAt = age.now();
         boolean isSnapshot = nextOffset < 0;
-        long waitMillis = settings.waitMillis().getAsLong();
         CompletableFuture<LogSlice> pendingRead = isSnapshot
                 ? store.readNewest(topic, settings.timeoutMillis())
                 : store.readLog(topic, nextOffset, waitMillis, settings.timeoutMillis());
@@ -180,7 +191,11 @@
         if (eras.isCompleteSince(requestedAt.monotonicMillis()) && listener.isUpToDate()) {
             age.confirm(asOf);
         }
-        timer.runAfter(settings.pauseMillis(), () -> read(readGeneration));
+        // The read after a snapshot follows at once, since records may have been appended meanwhile.
+        boolean hasNewRecords = waitMillis != NO_WAIT && !slice.records().isEmpty();
+        timer.runAfter(
+                hasNewRecords ? settings.pauseAfterRecordsMillis() : settings.pauseMillis(),
+                () -> read(readGeneration));
     }
 
     /**
