Test that a stream that goes on leaves the queue while it is open

Change: replaced by testAStreamThatGoesOnIsNotSentWhenCapacityBecomesFree, which frees capacity while the stream is open and checks that the next call gets it.

--- a/gateway/src/test/java/org/jasminehub/gateway/SilentStreamLimitsTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/SilentStreamLimitsTest.java
@@ -20,6 +20,9 @@
     /** Callers that leave, and limits under which no second attempt starts. */
     @Nested
     final class Limits {
+        private static final String PING = ": ping\n\n";
+        private static final long PING_MILLIS = 100;
+
         private ScriptedEndpoint.Reply silentFor(long millis, int lastSilentId) {
             return (request, socket) -> {
                 head(request, socket);
@@ -107,18 +110,38 @@
         }
 
         @Test
-        void testASilentStreamThatGoesOnLeavesTheQueue() throws Exception {
+        void testAStreamThatGoesOnIsNotSentWhenCapacityBecomesFree() throws Exception {
             serveWithBothEndpoints();
-            List<Socket> open = fillAroundSilentStream(silentFor(SILENCE_MILLIS, 1));
-            try (Socket caller = open.remove(0)) {
-                assertEvents(3, GatewayHarness.readAll(caller.getInputStream()));
+            AtomicBoolean mayEnd = new AtomicBoolean();
+            List<Socket> open = fillAroundSilentStream((request, socket) -> {
+                head(request, socket);
+                events(socket, 1, 1);
+                pause(SILENCE_MILLIS);
+                events(socket, 2, 2);
+                while (!mayEnd.get()) {
+                    // Not silent again, however long the rest of the test takes.
+                    text(socket, PING);
+                    pause(PING_MILLIS);
+                }
+                events(socket, 3, 3);
+                return end(socket);
+            });
+            StringBuilder answer = new StringBuilder();
+            while (answer.indexOf("e2") < 0) {
+                answer.append((char) open.get(0).getInputStream().read());
             }
-            // Capacity that becomes free now would be given to a call that still waits.
-            open.forEach(ScriptedEndpoint::closeQuietly);
-            GatewayHarness.await(() -> gateway.gauge("calls.open") == 0);
+            ScriptedEndpoint other = silentEndpoint() == endpointOne ? endpointTwo : endpointOne;
+            open.get(indexOfCallAt(other)).close();
+            GatewayHarness.await(() -> gateway.gauge("calls.open") == 2 * PLACES - 1);
+            script.add(ScriptedEndpoint.ok("served"));
 
-            assertNoEndedAttemptIsCounted();
+            // A second attempt that was still queued would have been sent before this call.
+            assertTrue(gateway.exchange(safe("next")).endsWith("served"));
             assertEquals(1, streamRequests());
+            mayEnd.set(true);
+            answer.append(GatewayHarness.readAll(open.get(0).getInputStream()));
+            assertEvents(3, answer.toString().replace(PING, ""));
+            open.forEach(ScriptedEndpoint::closeQuietly);
         }
 
         @Test
@@ -133,20 +156,11 @@
                 return end(socket);
             });
             pause(SILENCE_MILLIS);
-            ScriptedEndpoint silent = endpointOne.requests().stream()
-                            .anyMatch(request -> request.head().contains("/stream/"))
-                    ? endpointOne
-                    : endpointTwo;
             script.add(ScriptedEndpoint.ok("served"));
             try (Socket waiting = open(safe("waiting"))) {
                 GatewayHarness.await(() -> gateway.gauge("calls.open") == 2 * PLACES + 1);
                 // Ends one call at the endpoint of the silent stream.
-                String atSilent = silent.requests().stream()
-                        .filter(request -> request.head().contains("/unsafe/"))
-                        .findFirst()
-                        .orElseThrow()
-                        .header("x-attempt-id");
-                ScriptedEndpoint.closeQuietly(open.get(Integer.parseInt(atSilent.substring("fill-".length()))));
+                open.get(indexOfCallAt(silentEndpoint())).close();
 
                 assertTrue(GatewayHarness.readAll(waiting.getInputStream()).endsWith("served"));
             }
@@ -156,6 +170,22 @@
             open.forEach(ScriptedEndpoint::closeQuietly);
         }
 
+        private ScriptedEndpoint silentEndpoint() {
+            boolean isFirst = endpointOne.requests().stream()
+                    .anyMatch(request -> request.head().contains("/stream/"));
+            return isFirst ? endpointOne : endpointTwo;
+        }
+
+        /** Returns the index of a call in the result of {@link #fillAroundSilentStream} that {@code endpoint} has. */
+        private int indexOfCallAt(ScriptedEndpoint endpoint) {
+            String id = endpoint.requests().stream()
+                    .filter(request -> request.head().contains("/unsafe/"))
+                    .findFirst()
+                    .orElseThrow()
+                    .header("x-attempt-id");
+            return Integer.parseInt(id.substring("fill-".length()));
+        }
+
         /**
          * Opens a stream, the first socket of the result, and calls that use all other capacity of both endpoints; the
          * call {@code fill-N} has the index N.
