--- a/core/src/main/java/org/jasminehub/core/balance/CallQueuePolicy.java
+++ b/core/src/main/java/org/jasminehub/core/balance/CallQueuePolicy.java
@@ -49,6 +49,9 @@
     /** Relative jitter of retry times, so that callers refused together do not all retry at the same time. */
     private static final double JITTER = 0.3;
 
+    /** The earliest time at which any refused caller is told to retry. */
+    public static final long EARLIEST_RETRY_MILLIS = (long) (MIN_RETRY_AFTER_MILLIS * (1 - JITTER));
+
     private final Clock clock;
     private final Deque<Long> endTimesMillis = new ArrayDeque<>();
 
@@ -95,7 +98,12 @@
             return false;
         }
         // If no call ended recently, the drain rate is unknown.
-        return endTimesMillis.isEmpty() || expectedWaitMillis(ahead) <= WAIT_TOLERANCE_FACTOR * leftMillis;
+        return endTimesMillis.isEmpty() || isAcceptableWait(expectedWaitMillis(ahead), leftMillis);
+    }
+
+    /** Returns whether a call that may wait {@code leftMillis} may join a queue with this expected wait. */
+    public static boolean isAcceptableWait(double expectedMillis, long leftMillis) {
+        return expectedMillis <= WAIT_TOLERANCE_FACTOR * leftMillis;
     }
 
     /**
@@ -105,9 +113,24 @@
      * @param position the position of this caller within the jitter range, from 0 to 1, both inclusive
      */
     public long retryAfterMillis(int waiting, double position) {
-        Checks.inRange("position", position, 0, 1);
         removeExpired();
-        double millis = endTimesMillis.isEmpty() ? STALLED_RETRY_AFTER_MILLIS : expectedWaitMillis(waiting);
+        return endTimesMillis.isEmpty()
+                ? stalledRetryAfterMillis(position)
+                : retryAfterMillis(expectedWaitMillis(waiting), position);
+    }
+
+    /** Returns the retry time of a caller that is refused while no calls end. */
+    public static long stalledRetryAfterMillis(double position) {
+        return retryAfterMillis((double) STALLED_RETRY_AFTER_MILLIS, position);
+    }
+
+    /**
+     * Returns the retry time, within its bounds, of a caller for which a slot is expected after {@code millis}.
+     *
+     * @param position the position of this caller within the jitter range, from 0 to 1, both inclusive
+     */
+    public static long retryAfterMillis(double millis, double position) {
+        Checks.inRange("position", position, 0, 1);
         double jitter = 1 + JITTER * (2 * position - 1);
         return Math.round(Math.max(MIN_RETRY_AFTER_MILLIS, Math.min(MAX_RETRY_AFTER_MILLIS, millis)) * jitter);
     }
