Entry instances order scarce slots across the whole fleet

Cause: ServiceQueue ordered calls and computed waits within one instance, see core/overload. Ruled out: a message for each freed slot, which would cost one to every instance for each call; counting refused calls within the waiting ones, since other instances would leave slots to calls that are gone. Change: SharedQueues sends and receives the queues in the exchange of statuses; ServiceQueue and CallDispatcher ask it before a free slot is taken, for the wait, and for Retry-After. Calls without a prospect of a slot are refused at once. The message of a queue gets the field refused_by_priority, without which the demand of a priority that is refused at once is unknown. The part is off unless capacity.sharedQueuesMinInstances is set. Events 6800 and 6801, five metrics. GatewayHarness takes the capacity settings; no existing test changes.

--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -27,6 +27,7 @@
 import org.jasminehub.gateway.call.CallPipeline;
 import org.jasminehub.gateway.call.CallSettings;
 import org.jasminehub.gateway.call.ConfigurationView;
+import org.jasminehub.gateway.call.SharedQueues;
 import org.jasminehub.gateway.control.ConfigurationController;
 import org.jasminehub.gateway.control.ControlEvent;
 import org.jasminehub.gateway.control.ControlEventKind;
@@ -94,6 +95,7 @@
     private final SuspensionDetector suspension;
     private final EndpointLoads loads;
     private final CallRetryBudget retryBudget;
+    private final SharedQueues sharedQueues;
     private final CallDispatcher dispatcher;
     private final StopSequence stopSequence;
     private final QuarantineController quarantine;
@@ -139,6 +141,7 @@
                 peers::isCoordinator);
         this.retryBudget = EntrySetup.newRetryBudget(settings, clock);
         this.quarantine = new QuarantineController(client, store, instances, peers, timer, random, clock, events);
+        this.sharedQueues = createSharedQueues(random);
         this.dispatcher = new CallDispatcher(
                 loop,
                 clock,
@@ -151,6 +154,7 @@
                 retryBudget,
                 quarantine,
                 service -> service == null || service.engine() == null ? PLAIN_CALLS_PER_SLOT : ENGINE_CALLS_PER_SLOT,
+                sharedQueues,
                 random,
                 events);
         this.stopSequence = new StopSequence(settings, clock, timer, events);
@@ -175,6 +179,16 @@
                 events);
     }
 
+    private SharedQueues createSharedQueues(RandomGenerator random) {
+        return new SharedQueues(
+                settings.instance(),
+                settings.capacity().sharedQueuesMinInstances(),
+                peers::maxInstances,
+                clock,
+                random,
+                events);
+    }
+
     /** Returns an upper bound for the number of entry instances, 1 before they are known. */
     private int instanceCount() {
         return peers == null ? 1 : peers.maxInstances();
@@ -217,6 +231,7 @@
                     endpoints,
                     loads,
                     () -> experts.isActive() ? Optional.of(experts.slowEndpoints()) : Optional.empty()));
+            peers.addExtension(sharedQueues);
             peers.start(dispatcher::dispatchQueued);
             experts.start();
             tick();
@@ -229,6 +244,7 @@
         EntryGauges.register(metrics, configuration, endpoints, monitors, client, peers, dispatcher, () -> isReady);
         rateLimits.register(metrics);
         quarantine.register(metrics);
+        sharedQueues.register(metrics);
     }
 
     /** Returns the client used for calls to endpoints. */
--- a/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
@@ -71,7 +71,7 @@
     }
 
     void start() {
-        call.dispatcher().onSent(endpoint);
+        call.dispatcher().onSent(call, endpoint);
         CallerRequest request = call.context().request;
         WorkspaceGrant grant = call.context().grant;
         HttpHeaders headers = CallHeadersAdapter.forEndpoint(
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
@@ -61,6 +61,7 @@
     private final QuarantineController quarantine;
     private final RandomGenerator random;
     private final EventSink events;
+    private final SharedQueues sharedQueues;
     private final Map<String, ServiceQueue> queues = new HashMap<>();
     private final GroupBackoff groupBackoff;
     private final Set<RunningCall> running = new HashSet<>();
@@ -79,6 +80,7 @@
             CallRetryBudget retryBudget,
             QuarantineController quarantine,
             ConcurrencyLimits concurrency,
+            SharedQueues sharedQueues,
             RandomGenerator random,
             EventSink events) {
         this.loop = loop;
@@ -93,6 +95,7 @@
         this.quarantine = quarantine;
         this.random = random;
         this.events = events;
+        this.sharedQueues = sharedQueues;
         this.groupBackoff = new GroupBackoff(clock);
         this.selector = new EndpointSelector(
                 endpoints,
@@ -129,15 +132,29 @@
                 queue.inDispatchOrder()
                         .forEach(call -> unavailability(service.getKey()).ifPresent(call::refuse));
             }
-            for (RunningCall call : queue.inDispatchOrder()) {
-                Optional<EndpointRecord> endpoint = choose(call);
-                if (endpoint.isEmpty()) {
+            sendQueued(queue);
+            queue.withoutProspect().forEach(RunningCall::refuseForCapacity);
+            refuseBeyondRateLimits(service.getKey(), queue);
+        }
+    }
+
+    private void sendQueued(ServiceQueue queue) {
+        int ahead = 0;
+        for (RunningCall call : queue.inDispatchOrder()) {
+            if (!queue.mayTakeSlot(call, ahead, () -> selector.freeSlots(call, queue))) {
+                selector.reconsiderSoon();
+                ahead++;
+                if (selector.freeSlots(call, queue) == 0) {
                     break;
                 }
-                queue.remove(call);
-                call.send(endpoint.get());
+                continue;
             }
-            refuseBeyondRateLimits(service.getKey(), queue);
+            Optional<EndpointRecord> endpoint = selector.choose(call, queue);
+            if (endpoint.isEmpty()) {
+                break;
+            }
+            queue.remove(call);
+            call.send(endpoint.get());
         }
     }
 
@@ -160,21 +177,30 @@
 
     void onCall(RunningCall call) {
         running.add(call);
+        queue(call.service()).onCall(call);
         retryBudget.onCall(call.service());
     }
 
     void onDone(RunningCall call) {
         running.remove(call);
-        queue(call.service()).remove(call);
+        queue(call.service()).onDone(call);
     }
 
-    /** Returns an endpoint with capacity for the call, or empty if there is none. */
+    /**
+     * Returns an endpoint with capacity for a call that is not queued, or empty if there is none or it is left to queued
+     * calls, here or at other instances.
+     */
     Optional<EndpointRecord> choose(RunningCall call) {
-        return selector.choose(call, queue(call.service()));
+        ServiceQueue queue = queue(call.service());
+        if (!queue.mayTakeSlot(call, () -> selector.freeSlots(call, queue))) {
+            selector.reconsiderSoon();
+            return Optional.empty();
+        }
+        return selector.choose(call, queue);
     }
 
     private ServiceQueue queue(String service) {
-        return queues.computeIfAbsent(service, each -> new ServiceQueue(clock));
+        return queues.computeIfAbsent(service, each -> new ServiceQueue(each, clock, sharedQueues));
     }
 
     /** Returns the refusal of calls to {@code service} if none of its endpoints accepts calls, else empty. */
@@ -193,7 +219,7 @@
                 hasEndpoints(service)
                         ? Refusal.retryable(
                                 ErrorCode.NO_ENDPOINT,
-                                retryAfterMillis(service),
+                                queue(service).retryAfterMillis(random.nextDouble()),
                                 "all endpoints of " + service + " are leaving")
                         : Refusal.retryable(
                                 ErrorCode.NO_ENDPOINT, NO_ENDPOINT_RETRY_MILLIS, "no endpoint of " + service));
@@ -224,6 +250,7 @@
     Refusal noCapacity(RunningCall call) {
         String service = call.service();
         ServiceQueue queue = queue(service);
+        queue.onRefused(call);
         OptionalLong permitMillis = permits.expectedWaitMillis(endpoints.serving(service), queue.ahead(call));
         if (permitMillis.isPresent()) {
             return Refusal.retryable(
@@ -233,7 +260,7 @@
         }
         return Refusal.retryable(
                 ErrorCode.OVERLOADED,
-                retryAfterMillis(service),
+                retryAfterMillis(call),
                 "no endpoint of " + service + " had room in time; " + queue.length() + " calls in line");
     }
 
@@ -246,12 +273,13 @@
         queue(call.service()).enqueue(call);
     }
 
-    /** Returns the delay after which a caller refused for lack of capacity should retry. */
-    long retryAfterMillis(String service) {
-        return queue(service).retryAfterMillis(random.nextDouble());
+    /** Returns the delay after which the caller of a call that is refused for lack of capacity should retry. */
+    long retryAfterMillis(RunningCall call) {
+        return queue(call.service()).retryAfterMillis(call, random.nextDouble());
     }
 
-    void onSent(EndpointRecord endpoint) {
+    void onSent(RunningCall call, EndpointRecord endpoint) {
+        queue(call.service()).onSent(call);
         loads.onSent(endpoint.id());
         quiet.onSent(endpoint.incarnation());
         permits.onSent(endpoint);
--- a/gateway/src/main/java/org/jasminehub/gateway/call/EndpointSelector.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/EndpointSelector.java
@@ -19,7 +19,10 @@
 
 /** Selects the endpoints that calls are sent to. Must be used on the process's event loop only. */
 final class EndpointSelector {
-    /** Interval at which queued calls are reconsidered while endpoints are quiet or start slowly. */
+    /**
+     * Interval at which queued calls are reconsidered while endpoints are quiet or start slowly, or slots are left to
+     * other instances.
+     */
     private static final long QUIET_TICK_MILLIS = 50;
 
     /** Permits that a call requests at a time if no endpoint may take it now; the first may be a long time off. */
@@ -64,10 +67,7 @@
 
     /** Returns an endpoint with capacity for {@code call}, or empty if there is none. */
     Optional<EndpointRecord> choose(RunningCall call, ServiceQueue queue) {
-        List<EndpointRecord> serving = endpoints.serving(call.service()).stream()
-                .filter(endpoint -> endpoint.seat() == null
-                        || !groupBackoff.isBackingOff(endpoint.seat().group()))
-                .toList();
+        List<EndpointRecord> serving = serving(call);
         // The limits of a group also depend on its quiet endpoints, whose calls go on.
         ToDoubleFunction<EndpointId> maxCallsPerSlot = maxCallsPerSlot(call, queue, serving);
         List<EndpointRecord> candidates =
@@ -107,11 +107,40 @@
 
     private boolean isPastQuietPeriod(EndpointRecord endpoint) {
         boolean isAccepted = quiet.accepts(endpoint);
-        if (!isAccepted && !isQuietTickDue) {
+        if (!isAccepted) {
+            reconsiderSoon();
+        }
+        return isAccepted;
+    }
+
+    /** Makes the queued calls be reconsidered shortly, even if nothing else happens. */
+    void reconsiderSoon() {
+        if (!isQuietTickDue) {
             isQuietTickDue = true;
             timer.runAfter(QUIET_TICK_MILLIS, this::onQuietTick);
         }
-        return isAccepted;
+    }
+
+    /** Returns how many more calls could be open at the endpoints that {@code call} could be sent to. */
+    int freeSlots(RunningCall call, ServiceQueue queue) {
+        List<EndpointRecord> serving = serving(call);
+        ToDoubleFunction<EndpointId> maxCallsPerSlot = maxCallsPerSlot(call, queue, serving);
+        return serving.stream()
+                .filter(this::isPastQuietPeriod)
+                .mapToInt(endpoint -> freeSlots(endpoint, maxCallsPerSlot.applyAsDouble(endpoint.id())))
+                .sum();
+    }
+
+    private int freeSlots(EndpointRecord endpoint, double maxCallsPerSlot) {
+        double maxCalls = endpoint.slots() * maxCallsPerSlot / loads.slowdown(endpoint.id());
+        return Math.max(0, (int) maxCalls - loads.openCalls(endpoint.id()));
+    }
+
+    private List<EndpointRecord> serving(RunningCall call) {
+        return endpoints.serving(call.service()).stream()
+                .filter(endpoint -> endpoint.seat() == null
+                        || !groupBackoff.isBackingOff(endpoint.seat().group()))
+                .toList();
     }
 
     private void onQuietTick() {
--- a/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
@@ -285,8 +285,8 @@
         if (end.isNotRun() && runs == 0) {
             endWithRefusal(dispatcher
                     .unavailability(service())
-                    .orElseGet(() ->
-                            Refusal.retryable(ErrorCode.OVERLOADED, dispatcher.retryAfterMillis(service()), reason)));
+                    .orElseGet(
+                            () -> Refusal.retryable(ErrorCode.OVERLOADED, dispatcher.retryAfterMillis(this), reason)));
         } else {
             endWithRefusal(Refusal.of(ErrorCode.ENDPOINT_FAILED, reason));
         }
@@ -309,7 +309,7 @@
         }
         if (!mayHaveRun && refusal.code() == ErrorCode.DEADLINE_EXCEEDED) {
             response = Refusal.retryable(
-                    ErrorCode.DEADLINE_UNREACHABLE, dispatcher.retryAfterMillis(service()), refusal.reason());
+                    ErrorCode.DEADLINE_UNREACHABLE, dispatcher.retryAfterMillis(this), refusal.reason());
         }
         end(
                 CallEventKind.CALL_REFUSED,
--- a/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
@@ -95,11 +95,16 @@
     }
 
     GatewayHarness(double graceSeconds) {
-        this("entry-1", ANY_PORT, graceSeconds, newStoreLoop(), null);
+        this("entry-1", ANY_PORT, graceSeconds, newStoreLoop(), null, CapacitySettings.OFF);
     }
 
     private GatewayHarness(
-            String name, String peerAddress, double graceSeconds, EventLoop storeLoop, @Nullable InMemoryStore shared) {
+            String name,
+            String peerAddress,
+            double graceSeconds,
+            EventLoop storeLoop,
+            @Nullable InMemoryStore shared,
+            CapacitySettings capacity) {
         this.storeLoop = storeLoop;
         this.ownsStore = shared == null;
         this.store = shared == null ? new InMemoryStore(storeLoop) : shared;
@@ -123,7 +128,7 @@
                 0.2,
                 60,
                 10,
-                CapacitySettings.OFF);
+                capacity);
         entry = new EntryProgram(settings, clock, events::add, metrics);
         entry.start();
     }
@@ -133,14 +138,20 @@
                 .next();
     }
 
+    /** Starts an instance whose queues are shared, with itself alone unless peers appear. */
+    static GatewayHarness sharingQueues() {
+        return new GatewayHarness(
+                "entry-1", ANY_PORT, GRACE_SECONDS, newStoreLoop(), null, new CapacitySettings(1, 0, 0));
+    }
+
     /** Starts an instance that other instances can connect to. */
     static GatewayHarness withPeers(String name) throws IOException {
-        return new GatewayHarness(name, freeAddress(), GRACE_SECONDS, newStoreLoop(), null);
+        return new GatewayHarness(name, freeAddress(), GRACE_SECONDS, newStoreLoop(), null, CapacitySettings.OFF);
     }
 
     /** Starts another instance with the store of this one. */
     GatewayHarness startPeer(String name) throws IOException {
-        return new GatewayHarness(name, freeAddress(), GRACE_SECONDS, storeLoop, store);
+        return new GatewayHarness(name, freeAddress(), GRACE_SECONDS, storeLoop, store, CapacitySettings.OFF);
     }
 
     /** Peers connect to the registered port, so it must be known before the start. */
