--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -22,6 +22,7 @@
 import org.jasminehub.gateway.call.CallSettings;
 import org.jasminehub.gateway.call.ConfigurationView;
 import org.jasminehub.gateway.call.DomainTraffic;
+import org.jasminehub.gateway.call.SharedQueues;
 import org.jasminehub.gateway.cold.ColdEndpointController;
 import org.jasminehub.gateway.control.ConfigurationController;
 import org.jasminehub.gateway.control.ConfigurationReads;
@@ -93,6 +94,7 @@
     private final SuspensionDetector suspension;
     private final EndpointLoads loads;
     private final CallRetryBudget retryBudget;
+    private final SharedQueues sharedQueues;
     private final CallDispatcher dispatcher;
     private final StopSequence stopSequence;
     private final QuarantineController quarantine;
@@ -148,6 +150,7 @@
                 peers::isCoordinator);
         this.retryBudget = EntrySetup.newRetryBudget(settings, clock);
         this.quarantine = new QuarantineController(client, store, instances, peers, timer, random, clock, events);
+        this.sharedQueues = createSharedQueues(random);
         this.dispatcher = createDispatcher(random);
         this.stopSequence = new StopSequence(settings, clock, timer, events);
         this.suspension = new SuspensionDetector(settings.instance(), clock, events, () -> {
@@ -183,6 +186,7 @@
                 retryBudget,
                 quarantine,
                 service -> service == null || service.engine() == null ? PLAIN_CALLS_PER_SLOT : ENGINE_CALLS_PER_SLOT,
+                sharedQueues,
                 random,
                 events);
     }
@@ -202,6 +206,16 @@
                 events);
     }
 
+    private SharedQueues createSharedQueues(RandomGenerator random) {
+        return new SharedQueues(
+                settings.instance(),
+                settings.capacity().sharedQueuesMinInstances(),
+                peers::maxInstances,
+                clock,
+                random,
+                events);
+    }
+
     /** Returns an upper bound for the number of entry instances, 1 before they are known. */
     private int instanceCount() {
         return peers == null ? 1 : peers.maxInstances();
@@ -245,6 +259,7 @@
                     endpoints,
                     loads,
                     () -> experts.isActive() ? Optional.of(experts.slowEndpoints()) : Optional.empty()));
+            peers.addExtension(sharedQueues);
             peers.start(dispatcher::dispatchQueued);
             experts.start();
             tick();
@@ -259,6 +274,7 @@
         evacuations.register(metrics);
         cold.register(metrics);
         quarantine.register(metrics);
+        sharedQueues.register(metrics);
     }
 
     /** Returns the client used for calls to endpoints. */
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
@@ -18,7 +18,6 @@
 import org.jasminehub.core.balance.GroupBackoff;
 import org.jasminehub.core.balance.QuietPeriods;
 import org.jasminehub.core.error.ErrorCode;
-import org.jasminehub.core.evacuation.Evacuations;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.locality.DomainAwareChoice;
@@ -47,9 +46,6 @@
      */
     private static final int MIN_STREAMS_FOR_STALL = 3;
 
-    /** Retry delay for a service without endpoints; registrations are read again within this time. */
-    private static final long NO_ENDPOINT_RETRY_MILLIS = 1_000;
-
     private final EventLoop loop;
     private final Clock clock;
     private final EndpointClient client;
@@ -61,10 +57,12 @@
     private final EndpointLoads loads;
     private final DomainTraffic traffic;
     private final EndpointSelector selector;
+    private final ServiceAvailability availability;
     private final CallRetryBudget retryBudget;
     private final QuarantineController quarantine;
     private final RandomGenerator random;
     private final EventSink events;
+    private final SharedQueues sharedQueues;
     private final Map<String, ServiceQueue> queues = new HashMap<>();
     private final GroupBackoff groupBackoff;
     private final Set<RunningCall> running = new HashSet<>();
@@ -85,6 +83,7 @@
             CallRetryBudget retryBudget,
             QuarantineController quarantine,
             ConcurrencyLimits concurrency,
+            SharedQueues sharedQueues,
             RandomGenerator random,
             EventSink events) {
         this.loop = loop;
@@ -101,7 +100,10 @@
         this.quarantine = quarantine;
         this.random = random;
         this.events = events;
+        this.sharedQueues = sharedQueues;
         this.groupBackoff = new GroupBackoff(clock);
+        this.availability = new ServiceAvailability(
+                endpoints, quiet, cold, random, service -> queue(service).retryAfterMillis(random.nextDouble()));
         this.selector = new EndpointSelector(
                 endpoints,
                 quiet,
@@ -134,23 +136,37 @@
     public void dispatchQueued() {
         for (Map.Entry<String, ServiceQueue> service : List.copyOf(queues.entrySet())) {
             ServiceQueue queue = service.getValue();
-            if (queue.length() > 0 && hasEndpoints(service.getKey())) {
+            if (queue.length() > 0 && availability.hasEndpoints(service.getKey())) {
                 queue.inDispatchOrder()
                         .forEach(call -> unavailability(service.getKey()).ifPresent(call::refuse));
             }
-            for (RunningCall call : queue.inDispatchOrder()) {
-                Optional<EndpointRecord> endpoint = choose(call);
-                if (endpoint.isEmpty() && call.attempts().isAnyOpen()) {
-                    // The endpoint of its open attempt, which it may not use, may have capacity for the next calls.
-                    continue;
-                }
-                if (endpoint.isEmpty()) {
+            sendQueued(queue);
+            queue.withoutProspect().forEach(RunningCall::refuseForCapacity);
+            refuseBeyondRateLimits(service.getKey(), queue);
+        }
+    }
+
+    private void sendQueued(ServiceQueue queue) {
+        int ahead = 0;
+        for (RunningCall call : queue.inDispatchOrder()) {
+            if (!queue.mayTakeSlot(call, ahead, () -> selector.freeSlots(call, queue))) {
+                selector.reconsiderSoon();
+                ahead++;
+                if (selector.freeSlots(call, queue) == 0) {
                     break;
                 }
-                queue.remove(call);
-                call.send(endpoint.get());
+                continue;
             }
-            refuseBeyondRateLimits(service.getKey(), queue);
+            Optional<EndpointRecord> endpoint = selector.choose(call, queue);
+            if (endpoint.isEmpty() && call.attempts().isAnyOpen()) {
+                // The endpoint of its open attempt, which it may not use, may have capacity for the next calls.
+                continue;
+            }
+            if (endpoint.isEmpty()) {
+                break;
+            }
+            queue.remove(call);
+            call.send(endpoint.get());
         }
     }
 
@@ -173,6 +189,7 @@
 
     void onCall(RunningCall call) {
         running.add(call);
+        queue(call.service()).onCall(call);
         retryBudget.onCall(call.service());
     }
 
@@ -184,62 +201,29 @@
 
     void onDone(RunningCall call) {
         running.remove(call);
-        queue(call.service()).remove(call);
+        queue(call.service()).onDone(call);
     }
 
-    /** Returns an endpoint with capacity for the call, or empty if there is none. */
+    /**
+     * Returns an endpoint with capacity for a call that is not queued, or empty if there is none or it is left to queued
+     * calls, here or at other instances.
+     */
     Optional<EndpointRecord> choose(RunningCall call) {
-        return selector.choose(call, queue(call.service()));
+        ServiceQueue queue = queue(call.service());
+        if (!queue.mayTakeSlot(call, () -> selector.freeSlots(call, queue))) {
+            selector.reconsiderSoon();
+            return Optional.empty();
+        }
+        return selector.choose(call, queue);
     }
 
     private ServiceQueue queue(String service) {
-        return queues.computeIfAbsent(service, each -> new ServiceQueue(clock));
+        return queues.computeIfAbsent(service, each -> new ServiceQueue(each, clock, sharedQueues));
     }
 
     /** Returns the refusal of calls to {@code service} if none of its endpoints accepts calls, else empty. */
     Optional<Refusal> unavailability(String service) {
-        List<EndpointRecord> serving = endpoints.serving(service);
-        if (!serving.isEmpty()) {
-            OptionalLong retryAfterMillis = quiet.retryAfterMillis(serving, random.nextDouble());
-            return retryAfterMillis.isEmpty()
-                    ? onlyCold(service, serving)
-                    : Optional.of(Refusal.retryable(
-                            ErrorCode.ENDPOINTS_QUIET,
-                            retryAfterMillis.getAsLong(),
-                            "all endpoints of " + service + " refuse requests for now"));
-        }
-        if (endpoints.isEvacuated(service)) {
-            return Optional.of(Refusal.retryable(
-                    ErrorCode.DOMAIN_EVACUATED,
-                    Evacuations.retryAfterMillis(random.nextDouble()),
-                    "the failure domains of all endpoints of " + service + " are evacuated"));
-        }
-        return Optional.of(
-                hasEndpoints(service)
-                        ? Refusal.retryable(
-                                ErrorCode.NO_ENDPOINT,
-                                retryAfterMillis(service),
-                                "all endpoints of " + service + " are leaving")
-                        : Refusal.retryable(
-                                ErrorCode.NO_ENDPOINT, NO_ENDPOINT_RETRY_MILLIS, "no endpoint of " + service));
-    }
-
-    /** Returns the refusal of calls if all of {@code serving} are cold and none may be sent to, else empty. */
-    private Optional<Refusal> onlyCold(String service, List<EndpointRecord> serving) {
-        OptionalLong retryAfterMillis = cold.retryAfterMillis(service, serving, random::nextDouble);
-        return retryAfterMillis.isEmpty()
-                ? Optional.empty()
-                : Optional.of(Refusal.retryable(
-                        ErrorCode.ENDPOINTS_COLD,
-                        retryAfterMillis.getAsLong(),
-                        "all endpoints of " + service + " are cold and get no more requests for now"));
-    }
-
-    /** Returns whether any endpoint of {@code service} is registered, also one that accepts no calls. */
-    private boolean hasEndpoints(String service) {
-        return !endpoints.serving(service).isEmpty()
-                || endpoints.all().stream()
-                        .anyMatch(endpoint -> endpoint.service().equals(service));
+        return availability.refusal(service);
     }
 
     Exchange send(EndpointRecord endpoint, FullHttpRequest request, ConnectionUse use, ResponseSink sink) {
@@ -260,6 +244,7 @@
     Refusal noCapacity(RunningCall call) {
         String service = call.service();
         ServiceQueue queue = queue(service);
+        queue.onRefused(call);
         OptionalLong permitMillis = permits.expectedWaitMillis(endpoints.serving(service), queue.ahead(call));
         if (permitMillis.isPresent()) {
             return Refusal.retryable(
@@ -269,7 +254,7 @@
         }
         return Refusal.retryable(
                 ErrorCode.OVERLOADED,
-                retryAfterMillis(service),
+                retryAfterMillis(call),
                 "no endpoint of " + service + " had room in time; " + queue.length() + " calls in line");
     }
 
@@ -286,12 +271,13 @@
         queue(call.service()).remove(call);
     }
 
-    /** Returns the delay after which a caller refused for lack of capacity should retry. */
-    long retryAfterMillis(String service) {
-        return queue(service).retryAfterMillis(random.nextDouble());
+    /** Returns the delay after which the caller of a call that is refused for lack of capacity should retry. */
+    long retryAfterMillis(RunningCall call) {
+        return queue(call.service()).retryAfterMillis(call, random.nextDouble());
     }
 
-    void onSent(EndpointRecord endpoint) {
+    void onSent(RunningCall call, EndpointRecord endpoint) {
+        queue(call.service()).onSent(call);
         loads.onSent(endpoint.id());
         traffic.onSent(endpoint);
         quiet.onSent(endpoint.incarnation());
--- a/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
@@ -97,7 +97,7 @@
     }
 
     GatewayHarness(double graceSeconds) {
-        this("entry-1", ANY_PORT, graceSeconds, newStoreLoop(), null, null);
+        this("entry-1", ANY_PORT, graceSeconds, newStoreLoop(), null, null, CapacitySettings.OFF);
     }
 
     private GatewayHarness(
@@ -106,7 +106,8 @@
             double graceSeconds,
             EventLoop storeLoop,
             @Nullable InMemoryStore shared,
-            @Nullable String storeAddress) {
+            @Nullable String storeAddress,
+            CapacitySettings capacity) {
         this.storeLoop = storeLoop;
         this.peerAddress = peerAddress;
         this.ownsStore = shared == null;
@@ -131,7 +132,7 @@
                 0.2,
                 60,
                 10,
-                CapacitySettings.OFF);
+                capacity);
         entry = new EntryProgram(settings, clock, events::add, metrics);
         entry.start();
     }
@@ -141,9 +142,15 @@
                 .next();
     }
 
+    /** Starts an instance whose queues are shared, with itself alone unless peers appear. */
+    static GatewayHarness sharingQueues() {
+        return new GatewayHarness(
+                "entry-1", ANY_PORT, GRACE_SECONDS, newStoreLoop(), null, null, new CapacitySettings(1, 0, 0));
+    }
+
     /** Starts an instance that other instances can connect to. */
     static GatewayHarness withPeers(String name) throws IOException {
-        return new GatewayHarness(name, freeAddress(), GRACE_SECONDS, newStoreLoop(), null, null);
+        return new GatewayHarness(name, freeAddress(), GRACE_SECONDS, newStoreLoop(), null, null, CapacitySettings.OFF);
     }
 
     /** Starts another instance with the store of this one. */
@@ -153,7 +160,8 @@
 
     /** Starts another instance that reaches the store of this one at {@code storeAddress}. */
     GatewayHarness startPeer(String name, String storeAddress) throws IOException {
-        return new GatewayHarness(name, freeAddress(), GRACE_SECONDS, storeLoop, store, storeAddress);
+        return new GatewayHarness(
+                name, freeAddress(), GRACE_SECONDS, storeLoop, store, storeAddress, CapacitySettings.OFF);
     }
 
     /** Peers connect to the registered port, so it must be known before the start. */
