Queues are shared for services with several priorities only

Cause: with a single priority the order across instances changes nothing that callers notice, and deployments whose routes have one priority are to be served as before. Change: SharedQueues asks the configuration in force whether the routes to a service have different priorities.

--- a/core/src/main/java/org/jasminehub/core/serving/RouteTable.java
+++ b/core/src/main/java/org/jasminehub/core/serving/RouteTable.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * One version of the gateway configuration: routes, services, keys and limits. Immutable.
@@ -22,6 +24,7 @@
     private final Map<String, WorkspaceGrant> grants;
     private final boolean needsKeys;
     private final CallerLimits limits;
+    private final Map<String, Set<Integer>> prioritiesByService = new HashMap<>();
 
     /**
      * Creates a table.
@@ -42,6 +45,13 @@
         this.grants = Map.copyOf(grants);
         this.needsKeys = needsKeys;
         this.limits = limits;
+        for (Route route : routes) {
+            for (WeightedService service : route.services()) {
+                prioritiesByService
+                        .computeIfAbsent(service.service(), name -> new HashSet<>())
+                        .add(route.priority());
+            }
+        }
     }
 
     private static Map<String, List<Route>> groupByHost(List<Route> routes) {
@@ -71,6 +81,11 @@
         return limits;
     }
 
+    /** Returns whether routes to {@code service} have different priorities. */
+    public boolean hasSeveralPriorities(String service) {
+        return prioritiesByService.getOrDefault(service, Set.of()).size() > 1;
+    }
+
     /** Returns whether calls on routes that are not public need a key. */
     public boolean needsKeys() {
         return needsKeys;
--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -211,6 +211,10 @@
                 settings.instance(),
                 settings.capacity().sharedQueuesMinInstances(),
                 peers::maxInstances,
+                service -> configuration
+                        .inForce()
+                        .map(table -> table.hasSeveralPriorities(service))
+                        .orElse(false),
                 clock,
                 random,
                 events);
--- a/gateway/src/main/java/org/jasminehub/gateway/call/ServiceQueue.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/ServiceQueue.java
@@ -28,6 +28,7 @@
             .thenComparing(RunningCall::isCallerRetry)
             .thenComparingLong(RunningCall::sequence);
 
+    private final String service;
     private final Clock clock;
     private final TreeSet<RunningCall> calls = new TreeSet<>(ORDER);
     private final GroupConcurrencyLimits concurrencyLimits;
@@ -42,6 +43,7 @@
     private long lastProgressMillis;
 
     ServiceQueue(String service, Clock clock, SharedQueues sharedQueues) {
+        this.service = service;
         this.clock = clock;
         this.concurrencyLimits = new GroupConcurrencyLimits(clock);
         this.policy = new CallQueuePolicy(clock);
@@ -49,6 +51,10 @@
         this.shared = sharedQueues.queue(service);
     }
 
+    private boolean isShared() {
+        return sharedQueues.isActive(service);
+    }
+
     GroupConcurrencyLimits concurrencyLimits() {
         return concurrencyLimits;
     }
@@ -102,7 +108,7 @@
 
     /** Returns a copy of the queued calls in dispatch order, so that calls can be removed during iteration. */
     List<RunningCall> inDispatchOrder() {
-        return sharedQueues.isActive() ? callsOf(shared.inOrder()) : List.copyOf(calls);
+        return isShared() ? callsOf(shared.inOrder()) : List.copyOf(calls);
     }
 
     private List<RunningCall> callsOf(List<QueuedCall> queued) {
@@ -131,14 +137,14 @@
 
     /** Returns the number of queued calls that are dispatched before {@code call}. */
     int ahead(RunningCall call) {
-        return sharedQueues.isActive()
+        return isShared()
                 ? shared.ahead(description(call))
                 : calls.headSet(call).size();
     }
 
     /** Returns whether a call that has just arrived may be sent before the queued calls here and at other instances. */
     boolean mayTakeSlot(RunningCall call, IntSupplier freeSlots) {
-        return !sharedQueues.isActive() || mayTakeSlot(call, ahead(call), freeSlots);
+        return !isShared() || mayTakeSlot(call, ahead(call), freeSlots);
     }
 
     /**
@@ -148,11 +154,11 @@
      * @param freeSlots the number of slots that are free as far as this instance knows
      */
     boolean mayTakeSlot(RunningCall call, int ahead, IntSupplier freeSlots) {
-        return !sharedQueues.isActive() || shared.mayTake(description(call), ahead, freeSlots);
+        return !isShared() || shared.mayTake(description(call), ahead, freeSlots);
     }
 
     boolean mayWait(RunningCall call, long maxWaitMillis) {
-        if (!sharedQueues.isActive()) {
+        if (!isShared()) {
             return policy.mayWait(ahead(call), maxWaitMillis);
         }
         QueuedCall description = description(call);
@@ -166,7 +172,7 @@
     /** Returns the queued calls that can no longer be expected to get a slot in time. */
     List<RunningCall> withoutProspect() {
         // Work has already been spent on a call that was sent before, so it stays for its whole wait.
-        return sharedQueues.isActive()
+        return isShared()
                 ? callsOf(shared.withoutProspect(queued -> {
                     RunningCall call = callByDescription.get(queued);
                     return call == null || !call.triedEndpoints().isEmpty()
@@ -178,7 +184,7 @@
 
     /** Returns the delay after which the caller of a refused call should retry. */
     long retryAfterMillis(RunningCall call, double position) {
-        return sharedQueues.isActive()
+        return isShared()
                 ? shared.retryAfterMillis(description(call).priority(), position)
                 : policy.retryAfterMillis(calls.size(), position);
     }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/SharedQueues.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/SharedQueues.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.jasminehub.core.balance.StatusIntervalPolicy;
 import org.jasminehub.core.event.EventSink;
@@ -35,6 +36,7 @@
     private final String self;
     private final int minInstances;
     private final IntSupplier instances;
+    private final Predicate<String> hasSeveralPriorities;
     private final Clock clock;
     private final RandomGenerator random;
     private final EventSink events;
@@ -48,17 +50,21 @@
      *
      * @param minInstances the number of entry instances from which queues are shared, 0 for never
      * @param instances an upper bound for the number of entry instances
+     * @param hasSeveralPriorities whether the routes to a service have different priorities; the queues of others are
+     *     not shared
      */
     public SharedQueues(
             String self,
             int minInstances,
             IntSupplier instances,
+            Predicate<String> hasSeveralPriorities,
             Clock clock,
             RandomGenerator random,
             EventSink events) {
         this.self = self;
         this.minInstances = minInstances;
         this.instances = instances;
+        this.hasSeveralPriorities = hasSeveralPriorities;
         this.clock = clock;
         this.random = random;
         this.events = events;
@@ -80,9 +86,9 @@
                 .sum());
     }
 
-    /** Returns whether calls are ordered across all instances at present. */
-    boolean isActive() {
-        return isActive;
+    /** Returns whether the calls of {@code service} are ordered across all instances at present. */
+    boolean isActive(String service) {
+        return isActive && hasSeveralPriorities.test(service);
     }
 
     /** Returns whether they can become ordered across all instances, so that their calls must be counted. */
@@ -100,7 +106,7 @@
         if (isActive) {
             queues.forEach((service, queue) -> {
                 QueueStatus own = queue.status();
-                if (!own.equals(QueueStatus.IDLE)) {
+                if (hasSeveralPriorities.test(service) && !own.equals(QueueStatus.IDLE)) {
                     status.addQueues(encode(service.hashCode(), own));
                 }
             });
--- a/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
@@ -53,6 +53,8 @@
              "target_latency_ms":1000,"priority":1,"service":"plain","attempts":2,"public":false},
             {"name":"unsafe","host":"h.example","path_prefix":"/unsafe/","kind":"unsafe","timeout_ms":15000,
              "target_latency_ms":1000,"priority":1,"service":"plain","attempts":2,"public":false},
+            {"name":"background","host":"h.example","path_prefix":"/background/","kind":"safe","timeout_ms":15000,
+             "target_latency_ms":10000,"priority":2,"service":"plain","attempts":2,"public":false},
             {"name":"stream","host":"h.example","path_prefix":"/stream/","kind":"streaming","timeout_ms":8000,
              "target_latency_ms":1000,"priority":1,"service":"plain","attempts":2,"public":false,
              "resume_streams":true,"gap_aim_ms":120}],
--- a/gateway/src/test/java/org/jasminehub/gateway/call/SharedQueuesTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/call/SharedQueuesTest.java
@@ -25,10 +25,17 @@
     private final List<Event> events = new ArrayList<>();
     private final MetricRegistry metrics = new MetricRegistry();
     private int instances = 1;
+    private boolean hasSeveralPriorities = true;
 
     private SharedQueues queues(int minInstances) {
-        SharedQueues queues =
-                new SharedQueues("entry-1", minInstances, () -> instances, clock, new SplittableRandom(1), events::add);
+        SharedQueues queues = new SharedQueues(
+                "entry-1",
+                minInstances,
+                () -> instances,
+                service -> hasSeveralPriorities,
+                clock,
+                new SplittableRandom(1),
+                events::add);
         queues.register(metrics);
         queues.queue(SERVICE).add(new QueuedCall(1, CallTurn.IN_TIME, "w", 9_000, true, 0));
         return queues;
@@ -58,6 +65,17 @@
 
     @Nested
     final class Settings {
+        /** Guards against a change for services whose calls all have the same priority. */
+        @Test
+        void testTheQueueOfAServiceWithASinglePriorityIsNotShared() {
+            instances = 500;
+            hasSeveralPriorities = false;
+            SharedQueues queues = queues(1);
+
+            assertEquals(PeerStatus.getDefaultInstance(), statusOf(queues));
+            assertFalse(queues.isActive(SERVICE));
+        }
+
         /** Guards against a change for deployments that did not ask for the part. */
         @Test
         void testNothingIsSentOrKeptIfTurnedOff() {
@@ -67,7 +85,7 @@
             assertEquals(PeerStatus.getDefaultInstance(), statusOf(queues));
             queues.onPeerStatus("entry-2", waiting(7));
 
-            assertFalse(queues.isActive());
+            assertFalse(queues.isActive(SERVICE));
             assertFalse(queues.isConfigured());
             assertEquals(0, gauge("queues.peers"));
             assertEquals(List.of(), events);
@@ -78,12 +96,12 @@
             SharedQueues queues = queues(3);
             instances = 2;
             assertEquals(PeerStatus.getDefaultInstance(), statusOf(queues));
-            assertFalse(queues.isActive());
+            assertFalse(queues.isActive(SERVICE));
 
             instances = 3;
             assertEquals(1, statusOf(queues).getQueuesCount());
             statusOf(queues);
-            assertTrue(queues.isActive());
+            assertTrue(queues.isActive(SERVICE));
 
             instances = 2;
             assertEquals(0, statusOf(queues).getQueuesCount());
