Spillover from 0.3 of the capacity; small fleets compare all endpoints

Change: calls leave from 0.3 on, endpoints are sampled from 18 instances on; a share below 0.1 counts as none in the log.

--- a/core/src/main/java/org/jasminehub/core/locality/DomainAwareChoice.java
+++ b/core/src/main/java/org/jasminehub/core/locality/DomainAwareChoice.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 import org.jasminehub.core.balance.EndpointChoicePolicy;
@@ -38,17 +39,25 @@
     private static final double FAILING_WEIGHT = 0.5;
 
     /**
-     * Candidates that are compared for a call. In a replay of 30 instances with statuses 300 ms old, 3 random candidates
-     * exceeded the slots of an endpoint least often; with all candidates one call in ten did at half of the capacity.
+     * Candidates that are compared for a call in a large fleet. In a replay of 30 instances with statuses 300 ms old, 3
+     * random candidates exceeded the slots of an endpoint least often; with all candidates one call in ten did at half of
+     * the capacity.
      */
     private static final int SAMPLE_SIZE = 3;
 
+    /**
+     * Number of instances from which candidates are sampled. Fewer exchange statuses every 80 ms, and each of them knows
+     * a larger part of the load, so comparing all candidates spreads calls more evenly.
+     */
+    private static final int MIN_INSTANCES_FOR_SAMPLING = 18;
+
     private final EndpointChoicePolicy choice;
     private final EndpointLoads loads;
     private final Clock clock;
     private final FailureDomain home;
     private final LocalitySettings settings;
     private final RandomGenerator random;
+    private final IntSupplier instances;
     private final Consumer<SpilloverChange> onChanged;
     private final Map<String, ServiceState> states = new HashMap<>();
 
@@ -67,6 +76,7 @@
     /**
      * Creates a choice for an instance in the failure domain {@code home}.
      *
+     * @param instances an upper bound for the number of entry instances
      * @param onChanged receives each change between no calls, some calls and all calls leaving the domain
      */
     public DomainAwareChoice(
@@ -76,6 +86,7 @@
             FailureDomain home,
             LocalitySettings settings,
             RandomGenerator random,
+            IntSupplier instances,
             Consumer<SpilloverChange> onChanged) {
         this.choice = choice;
         this.loads = loads;
@@ -83,6 +94,7 @@
         this.home = home;
         this.settings = settings;
         this.random = random;
+        this.instances = instances;
         this.onChanged = onChanged;
     }
 
@@ -133,7 +145,7 @@
         List<EndpointRecord> untried = candidates.stream()
                 .filter(candidate -> !avoided.contains(candidate.id()))
                 .toList();
-        if (untried.size() > SAMPLE_SIZE) {
+        if (untried.size() > SAMPLE_SIZE && instances.getAsInt() >= MIN_INSTANCES_FOR_SAMPLING) {
             List<EndpointRecord> sample = random.ints(SAMPLE_SIZE, 0, untried.size())
                     .mapToObj(untried::get)
                     .toList();
--- a/core/src/main/java/org/jasminehub/core/locality/SpilloverExtent.java
+++ b/core/src/main/java/org/jasminehub/core/locality/SpilloverExtent.java
@@ -13,7 +13,7 @@
     private static final double NO_SHARE = 0.01;
 
     /** Larger than {@link #NO_SHARE}, so that a share near 0 does not cause a log line for each of its movements. */
-    private static final double SOME_SHARE = 0.05;
+    private static final double SOME_SHARE = 0.1;
 
     private static final double FULL_SHARE = 0.99;
 
--- a/core/src/main/java/org/jasminehub/core/locality/SpilloverPolicy.java
+++ b/core/src/main/java/org/jasminehub/core/locality/SpilloverPolicy.java
@@ -22,10 +22,10 @@
  */
 final class SpilloverPolicy {
     /**
-     * Utilization of the local domain up to which no call leaves. With calls of 1 to 2 s and statuses up to 300 ms old,
-     * about a fifth of the calls is not known yet, and the endpoints of a domain are unevenly used by as much again.
+     * Utilization of the local domain up to which no call leaves. Each call makes a pass of its engine's group longer, so
+     * a fuller domain is slower for all its calls well before its slots are used up.
      */
-    static final double MAX_HOME_UTILIZATION = 0.6;
+    static final double MAX_HOME_UTILIZATION = 0.3;
 
     /** Keeps the slope finite if the other domains are almost full. */
     private static final double MAX_START = 0.98;
--- a/core/src/test/java/org/jasminehub/core/locality/SpilloverReplayTest.java
+++ b/core/src/test/java/org/jasminehub/core/locality/SpilloverReplayTest.java
@@ -57,6 +57,7 @@
                     domain,
                     new LocalitySettings(cost, 1),
                     random,
+                    () -> INSTANCES_PER_DOMAIN * DOMAINS.size(),
                     change -> changes++);
         }
 
--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -181,7 +181,7 @@
                 rateLimits.permits(),
                 cold,
                 loads,
-                EntrySetup.newChoice(settings, loads, clock, random, traffic),
+                EntrySetup.newChoice(settings, loads, clock, random, peers::maxInstances, traffic),
                 traffic,
                 retryBudget,
                 quarantine,
--- a/gateway/src/main/java/org/jasminehub/gateway/EntrySetup.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntrySetup.java
@@ -7,6 +7,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 import org.jasminehub.core.balance.CallRetryBudget;
 import org.jasminehub.core.balance.EndpointChoicePolicy;
@@ -50,7 +51,12 @@
     }
 
     static DomainAwareChoice newChoice(
-            GatewaySettings settings, EndpointLoads loads, Clock clock, RandomGenerator random, DomainTraffic traffic) {
+            GatewaySettings settings,
+            EndpointLoads loads,
+            Clock clock,
+            RandomGenerator random,
+            IntSupplier instances,
+            DomainTraffic traffic) {
         FailureDomain home = new FailureDomain(settings.failureDomain());
         CapacitySettings capacity = settings.capacity();
         return new DomainAwareChoice(
@@ -60,6 +66,7 @@
                 home,
                 new LocalitySettings(capacity.crossDomainCost(), capacity.homeDomainMinEndpoints()),
                 random,
+                instances,
                 traffic::onSpilloverChanged);
     }
 
