Metric of the share of calls that leave the failure domain

Cause: the log says when spillover begins and ends, but no metric showed how much is in force. Change: spillover_share, the largest share of a service's calls. Before and after: no such metric; format check, linter and the tests of the choice pass.

--- a/core/src/main/java/org/jasminehub/core/locality/DomainAwareChoice.java
+++ b/core/src/main/java/org/jasminehub/core/locality/DomainAwareChoice.java
@@ -104,6 +104,14 @@
         return state == null ? 0 : state.policy.share();
     }
 
+    /** Returns the largest share of all services. */
+    public double largestShare() {
+        return states.values().stream()
+                .mapToDouble(state -> state.policy.share())
+                .max()
+                .orElse(0);
+    }
+
     /**
      * Returns the endpoint for a call, or empty if another call would take every one above its limit.
      *
--- a/gateway/src/main/java/org/jasminehub/gateway/EntrySetup.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntrySetup.java
@@ -59,7 +59,7 @@
             DomainTraffic traffic) {
         FailureDomain home = new FailureDomain(settings.failureDomain());
         CapacitySettings capacity = settings.capacity();
-        return new DomainAwareChoice(
+        DomainAwareChoice choice = new DomainAwareChoice(
                 new EndpointChoicePolicy(loads, home, random),
                 loads,
                 clock,
@@ -68,6 +68,8 @@
                 random,
                 instances,
                 traffic::onSpilloverChanged);
+        traffic.register(choice);
+        return choice;
     }
 
     static StoreClient newStore(
--- a/gateway/src/main/java/org/jasminehub/gateway/call/DomainTraffic.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/DomainTraffic.java
@@ -1,8 +1,10 @@
 package org.jasminehub.gateway.call;
 
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.FailureDomain;
+import org.jasminehub.core.locality.DomainAwareChoice;
 import org.jasminehub.core.locality.SpilloverChange;
 import org.jasminehub.core.serving.EndpointRecord;
 
@@ -21,6 +23,11 @@
         this.events = events;
     }
 
+    /** Registers the largest share of a service's calls that {@code choice} sends to other domains. */
+    public void register(DomainAwareChoice choice) {
+        metrics.register("spillover.share", (Gauge<Double>) choice::largestShare);
+    }
+
     /** Records a call that is sent to {@code endpoint}. */
     void onSent(EndpointRecord endpoint) {
         String name = endpoint.domain().equals(home)
