Configuration storms: copies to peers that stay behind only, and versions read in batches

Cause: every instance sent the whole configuration to every peer whose status was a version behind, with each status, and decoded every version. Change: ConfigurationCopyPolicy sends copies to peers that stay behind for 0.7 s, or know none, first from two instances, once a second; close versions are read together every 250 ms and only the last newer one is decoded.

--- a/gateway/src/main/java/org/jasminehub/gateway/control/ConfigurationController.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/ConfigurationController.java
@@ -61,12 +61,12 @@
                     @Override
                     public void onSnapshot(List<KeyedRecord> records) {
                         newestStoredVersion = 0;
-                        records.forEach(ConfigurationController.this::onRecord);
+                        applyNewest(records);
                     }
 
                     @Override
                     public void onRecords(List<KeyedRecord> records) {
-                        records.forEach(ConfigurationController.this::onRecord);
+                        applyNewest(records);
                     }
 
                     @Override
@@ -151,10 +151,18 @@
         follower.stop();
     }
 
-    private void onRecord(KeyedRecord record) {
-        byte[] value = record.value();
-        if (record.key().equals(StoreTopic.CONFIGURATION_KEY) && value != null) {
-            newestStoredVersion = Math.max(newestStoredVersion, apply(value));
+    /** Applies the last configuration that is newer than the one in force; the ones before it are not decoded. */
+    private void applyNewest(List<KeyedRecord> records) {
+        for (int index = records.size() - 1; index >= 0; index--) {
+            KeyedRecord record = records.get(index);
+            byte[] value = record.value();
+            if (record.key().equals(StoreTopic.CONFIGURATION_KEY) && value != null) {
+                RouteTable previous = inForce;
+                newestStoredVersion = Math.max(newestStoredVersion, apply(value));
+                if (inForce != previous) {
+                    return;
+                }
+            }
         }
     }
 
--- a/gateway/src/main/java/org/jasminehub/gateway/control/ConfigurationReads.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/ConfigurationReads.java
@@ -11,6 +11,12 @@
  * Adapts the reads of the configuration log to the live instances. Must be used on the process's event loop only.
  */
 public final class ConfigurationReads {
+    /**
+     * Versions that follow each other more closely are read together, since each one is the whole configuration. A small
+     * part of the 2 to 3 s within which a version has to be in force.
+     */
+    private static final long BATCH_MILLIS = 250;
+
     private final ConfigurationReadPolicy policy;
     private final EraTracker eras;
 
@@ -22,8 +28,10 @@
 
     /** Returns the settings of the follower; {@code instances} is an upper bound for the number of instances. */
     public FollowerSettings settings(IntSupplier instances, long timeoutMillis) {
-        return FollowerSettings.waiting(
-                () -> policy.nextWaitMillis(instances.getAsInt(), eras.rewriteRemainingMillis()), timeoutMillis);
+        return FollowerSettings.batching(
+                () -> policy.nextWaitMillis(instances.getAsInt(), eras.rewriteRemainingMillis()),
+                BATCH_MILLIS,
+                timeoutMillis);
     }
 
     /** Records that a peer confirmed a newer age than this instance's own. */
--- a/gateway/src/main/java/org/jasminehub/gateway/control/PeerExchange.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/PeerExchange.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
+import org.jasminehub.core.balance.ConfigurationCopyPolicy;
 import org.jasminehub.core.balance.StateAge;
 import org.jasminehub.core.balance.StatusIntervalPolicy;
 import org.jasminehub.core.era.DepartedEndpoint;
@@ -66,6 +67,7 @@
     private final Clock clock;
     private final EventSink events;
     private final PeerLinks links;
+    private final ConfigurationCopyPolicy copies;
     private final Map<String, PeerState> peers = new TreeMap<>();
     private final TreeMap<Long, StateAge.ClockReading> sentAtByToken = new TreeMap<>();
     private final StateAge clockReadings;
@@ -100,6 +102,7 @@
         this.clock = clock;
         this.events = events;
         this.clockReadings = new StateAge(clock);
+        this.copies = new ConfigurationCopyPolicy(registration.self().getInstance(), clock);
     }
 
     /** Adds a user of the connections. */
@@ -308,7 +311,10 @@
                     0));
         }
         byte[] bytes = configuration.bytesInForce();
-        if (bytes != null && status.getConfigurationVersion() < version()) {
+        copies.onInForce(version());
+        if (bytes != null
+                && status.getConfigurationVersion() < version()
+                && copies.trySend(name, status.getConfigurationVersion(), acceptingNames())) {
             connection.send(PeerEnvelope.newBuilder()
                     .setConfigurationCopy(ConfigurationCopy.newBuilder().setConfiguration(ByteString.copyFrom(bytes)))
                     .build());
@@ -317,6 +323,10 @@
         onStatusReceived.run();
     }
 
+    private List<String> acceptingNames() {
+        return acceptingInstances().stream().map(InstanceRecord::getInstance).toList();
+    }
+
     /** Takes over what the peer knows about a restore of the store. */
     private void shareRestoreState(PeerStatus status) {
         if (status.getStoreEra() > 0) {
