--- a/gateway/src/test/java/org/jasminehub/gateway/InMemoryStore.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/InMemoryStore.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.jasminehub.core.serving.CallerLimits;
@@ -29,7 +30,7 @@
 
     private final EventLoop loop;
     private final CallerServer server;
-    private final List<CallerServer> otherServers = new ArrayList<>();
+    private final List<CallerServer> otherServers = new CopyOnWriteArrayList<>();
     private final Map<String, List<Entry>> logsByTopic = new LinkedHashMap<>();
     private final Map<String, Integer> callsByTopicAndKind = new TreeMap<>();
     private long era = 1;
@@ -50,7 +51,8 @@
     }
 
     /** Opens another address of this store, which refuses all calls while {@code isCutOff} is true. */
-    synchronized String openAddress(BooleanSupplier isCutOff) {
+    String openAddress(BooleanSupplier isCutOff) {
+        // Not synchronized: the loop may wait for the lock to answer a request while this waits for the loop.
         CallerServer other = listen(() -> isDown || isCutOff.getAsBoolean());
         otherServers.add(other);
         return "127.0.0.1:" + other.port();
