--- a/core/src/main/java/org/jasminehub/core/serving/ColdStart.java
+++ b/core/src/main/java/org/jasminehub/core/serving/ColdStart.java
@@ -53,11 +53,11 @@
         List<String> defects = new ArrayList<>();
         double millis = Math.ceil(seconds * MILLIS_PER_SECOND);
         double usedMillis = millis > 0 ? Math.min(MAX_COLD_MILLIS, millis) : FALLBACK_COLD_MILLIS;
-        addDefect(defects, "cold_start_s", coldSeconds, millis == usedMillis, usedMillis / MILLIS_PER_SECOND);
+        addDefect(defects, "cold time in seconds", coldSeconds, millis == usedMillis, usedMillis / MILLIS_PER_SECOND);
         double usedRate = rate > 0
                 ? Math.max(MIN_REQUESTS_PER_SECOND, Math.min(MAX_REQUESTS_PER_SECOND, rate))
                 : FALLBACK_REQUESTS_PER_SECOND;
-        addDefect(defects, "cold_per_s", requestsPerSecond, rate == usedRate, usedRate);
+        addDefect(defects, "cold rate in requests per second", requestsPerSecond, rate == usedRate, usedRate);
         return new ColdStart((long) usedMillis, usedRate, String.join("; ", defects));
     }
 
