--- a/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
@@ -219,6 +219,14 @@
     }
 
     private void putRegistration(String domain, String id, int port, String state, long sequence) {
+        putRegistration(store, domain, id, port, state, sequence);
+    }
+
+    static void putConfiguration(InMemoryStore store, long version, String key) {
+        store.put("keyed.op", "config", CONFIGURATION.formatted(version, key));
+    }
+
+    static void putRegistration(InMemoryStore store, String domain, String id, int port, String state, long sequence) {
         store.put(
                 "keyed.servers",
                 id,
@@ -238,7 +246,7 @@
 
     /** Publishes a configuration without waiting until it is in force. */
     void putConfiguration(long version, String key) {
-        store.put("keyed.op", "config", CONFIGURATION.formatted(version, key));
+        putConfiguration(store, version, key);
     }
 
     /** Waits until an event of {@code kind} about {@code subject} has been logged. */
--- a/gateway/src/test/java/org/jasminehub/gateway/SoakCall.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/SoakCall.java
@@ -58,6 +58,7 @@
     private volatile long sentNanos;
     private volatile boolean isSent;
     private volatile boolean isAbandoned;
+    private volatile boolean isBehindAnnouncedClose;
     private volatile long endedNanos;
     private volatile @Nullable SoakResponse response;
 
@@ -154,6 +155,16 @@
         note("sent to " + gateway.name() + " " + note);
     }
 
+    /** Records that the caller had read on the same connection that its last response was the last one. */
+    void onSentBehindAnnouncedClose() {
+        isBehindAnnouncedClose = true;
+        note("the response before it announced the close");
+    }
+
+    boolean isBehindAnnouncedClose() {
+        return isBehindAnnouncedClose;
+    }
+
     void onAbandoned() {
         isAbandoned = true;
         note("caller disconnects");
@@ -205,8 +216,7 @@
                 .append(" ms, gateway ended at ")
                 .append(millis(gateway.endedNanos() - runStartNanos))
                 .append(" ms\n");
-        gateway.harness()
-                .callEvents(id)
+        gateway.callEvents(id)
                 .forEach(event -> text.append("  logged ").append(event).append('\n'));
         return text.toString();
     }
--- a/gateway/src/test/java/org/jasminehub/gateway/SoakCaller.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/SoakCaller.java
@@ -1,6 +1,7 @@
 package org.jasminehub.gateway;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.Socket;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -12,25 +13,30 @@
     private static final int MAX_EVENTS = 12;
 
     private final String name;
-    private final SoakRun run;
+    private final SoakLoad load;
     private final SplittableRandom random;
+    private final CallerManner manner;
     private int calls;
+    private boolean isCloseAnnounced;
 
-    SoakCaller(String name, SoakRun run, SplittableRandom random) {
+    SoakCaller(String name, SoakLoad load, SplittableRandom random, CallerManner manner) {
         this.name = name;
-        this.run = run;
+        this.load = load;
         this.random = random;
+        this.manner = manner;
     }
 
     @Override
     public void run() {
-        while (!run.isOver()) {
-            SoakGateway gateway = run.pick(random);
-            try (Socket socket = gateway.connect()) {
+        while (!load.isOver()) {
+            SoakGateway gateway = load.pick(random);
+            try (Socket socket = gateway.connect(manner.receiveBufferBytes())) {
+                InputStream in = manner.paced(socket.getInputStream());
+                isCloseAnnounced = false;
                 boolean isOpen = true;
                 while (isOpen) {
                     pause(random.nextInt(8) == 0 ? random.nextInt(2_500) : random.nextInt(200));
-                    isOpen = exchange(socket, gateway);
+                    isOpen = exchange(socket, in, gateway);
                 }
             } catch (IOException e) {
                 // The instance has ended, or the connection was closed while a request was being written.
@@ -40,8 +46,11 @@
     }
 
     /** Sends one or two requests and reads the responses; returns whether the connection can be used again. */
-    private boolean exchange(Socket socket, SoakGateway gateway) throws IOException {
+    private boolean exchange(Socket socket, InputStream in, SoakGateway gateway) throws IOException {
         SoakCall call = nextCall(gateway, null);
+        if (isCloseAnnounced) {
+            call.onSentBehindAnnouncedClose();
+        }
         int form = random.nextInt(20);
         if (form < 4) {
             writeInTwoParts(socket, call);
@@ -55,17 +64,19 @@
             return false;
         }
         SoakCall next = form > 4 && form < 9 ? pipeline(socket, call) : null;
-        SoakResponse response = SoakResponse.read(socket.getInputStream());
+        SoakResponse response = SoakResponse.read(in);
         call.onResponse(response);
         if (next != null) {
             if (!response.isComplete()) {
                 next.onResponse(new SoakResponse("", "", false, "connection ended before"));
                 return false;
             }
-            response = SoakResponse.read(socket.getInputStream());
+            response = SoakResponse.read(in);
             next.onResponse(response);
         }
-        return response.isComplete() && !response.isLastOnConnection() && random.nextInt(12) > 0;
+        isCloseAnnounced = response.isLastOnConnection();
+        boolean isLeft = isCloseAnnounced && !manner.ignoresAnnouncedClose();
+        return response.isComplete() && !isLeft && random.nextInt(12) > 0;
     }
 
     /** Sends another request before the response to {@code call}. */
@@ -98,7 +109,7 @@
 
     private SoakCall nextCall(SoakGateway gateway, @Nullable SoakCall pipelinedAfter) {
         SoakCall.Kind kind = SoakCall.Kind.values()[random.nextInt(3)];
-        return run.newCall(
+        return load.newCall(
                 name + "-" + calls++,
                 kind,
                 gateway,
--- a/gateway/src/test/java/org/jasminehub/gateway/SoakGateway.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/SoakGateway.java
@@ -1,75 +1,53 @@
 package org.jasminehub.gateway;
 
 import java.io.IOException;
-import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.List;
 
-/** An entry instance of a soak run, from its start to the end of its process. */
-final class SoakGateway {
-    static final String KEY = "key-1";
+/** An entry instance of a soak run, from its start to its end. Thread-safe. */
+interface SoakGateway {
+    String KEY = "key-1";
 
-    private final String name;
-    private final double graceSeconds;
-    private final GatewayHarness harness;
-    private final int callerPort;
-    private volatile long signalNanos;
-    private volatile long endedNanos;
-    private volatile boolean isEnded;
+    String name();
 
-    /** Starts an entry instance that serves with {@code endpoints}. */
-    SoakGateway(String name, double graceSeconds, List<ScriptedEndpoint> endpoints) {
-        this.name = name;
-        this.graceSeconds = graceSeconds;
-        harness = new GatewayHarness(graceSeconds);
-        callerPort = harness.entry().callerPort();
-        harness.configure(1, KEY);
-        for (int index = 0; index < endpoints.size(); index++) {
-            harness.register("e-" + index, endpoints.get(index).port(), "ready");
-        }
-    }
+    /** Returns the time from the stop request to the forced end, in seconds. */
+    double graceSeconds();
 
-    String name() {
-        return name;
-    }
+    /** Returns when the stop was requested, 0 before. */
+    long signalNanos();
 
-    double graceSeconds() {
-        return graceSeconds;
-    }
+    /** Returns when the instance had ended, 0 before. */
+    long endedNanos();
 
-    GatewayHarness harness() {
-        return harness;
-    }
-
-    /** Returns when the stop was requested; only valid after {@link #stop}. */
-    long signalNanos() {
-        return signalNanos;
-    }
+    boolean isEnded();
 
-    long endedNanos() {
-        return endedNanos;
+    /** Connects to the address of the instance, whether or not it is stopping. */
+    default Socket connect() throws IOException {
+        return connect(0);
     }
 
-    boolean isEnded() {
-        return isEnded;
-    }
+    /** Connects like {@link #connect()}, with a receive buffer of that size, or of the default size if it is 0. */
+    Socket connect(int receiveBufferBytes) throws IOException;
 
-    /** Connects to the address of the instance, whether or not it is stopping. */
-    Socket connect() throws IOException {
-        Socket socket = new Socket(InetAddress.getLoopbackAddress(), callerPort);
+    /** Opens a socket to an address of the loopback interface with a time-out for reads. */
+    static Socket open(InetSocketAddress address, int receiveBufferBytes) throws IOException {
+        Socket socket = new Socket();
+        if (receiveBufferBytes > 0) {
+            socket.setReceiveBufferSize(receiveBufferBytes);
+        }
         socket.setSoTimeout((int) GatewayHarness.TIMEOUT.toMillis());
+        try {
+            socket.connect(address);
+        } catch (IOException e) {
+            socket.close();
+            throw e;
+        }
         return socket;
     }
 
-    /** Requests the stop and returns once the process has ended. */
-    void stop() {
-        signalNanos = System.nanoTime();
-        harness.close();
-        endedNanos = System.nanoTime();
-        isEnded = true;
-    }
+    String describe();
 
-    String describe() {
-        return name + " with " + graceSeconds + " s grace";
-    }
+    /** Returns the logged events about the call {@code id}, in order; empty if the instance never processed it. */
+    List<String> callEvents(String id);
 }
--- a/gateway/src/test/java/org/jasminehub/gateway/SoakInvariants.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/SoakInvariants.java
@@ -2,7 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
 /** The invariants that every request of a soak run must satisfy. */
@@ -13,13 +16,52 @@
     /** From this share of the grace time on, a stream on which the endpoint is still working may be cut. */
     private static final double CUT_ALLOWED_SHARE = 5.0 / 6;
 
+    /** The time after which a request that a process has read must not end without an answer, even if not passed on. */
+    private static final long LOSS_SLACK_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+    /** How a request ended for its caller; all but the last two are allowed. */
+    enum Outcome {
+        ANSWERED,
+        /** The caller disconnected without waiting. */
+        CALLER_LEFT,
+        /** The connection ended before the caller had written the whole request. */
+        NOT_SENT,
+        /** The connection was reset or ended at once; no process had read the request. */
+        NOT_READ,
+        /** The endpoint broke the stream off and no other attempt was left. */
+        BROKEN_OFF,
+        /** An endpoint was still at work on an early request at the end of the grace time. */
+        AT_WORK_AT_THE_END,
+        /** Sent behind a response that announced the close. */
+        BEHIND_THE_CLOSE,
+        /** Read but not passed on, and ended without an answer later than the slack. */
+        DROPPED,
+        /** Passed on to an endpoint, and ended without a whole answer. */
+        LOST
+    }
+
     private SoakInvariants() {}
 
+    /** Returns the number of requests of each outcome. */
+    static String summary(Collection<SoakCall> calls) {
+        Map<Outcome, Integer> counts = new EnumMap<>(Outcome.class);
+        Map<Integer, Integer> statuses = new TreeMap<>();
+        for (SoakCall call : calls) {
+            Outcome outcome = outcome(call);
+            counts.merge(outcome, 1, Integer::sum);
+            SoakResponse response = call.response();
+            if (outcome == Outcome.ANSWERED && response != null) {
+                statuses.merge(response.status(), 1, Integer::sum);
+            }
+        }
+        return calls.size() + " requests " + counts + ", statuses " + statuses;
+    }
+
     /** Returns a description of each violation, with the history of the request. */
     static List<String> violations(Collection<SoakCall> calls) {
         List<String> violations = new ArrayList<>();
         for (SoakCall call : calls) {
-            check(violations, call, 1, "read but not answered", isAnswered(call));
+            check(violations, call, 1, "read but not answered (" + outcome(call) + ")", isAnswered(call));
             check(violations, call, 1, "got the response to another request", isOwnResponse(call));
             check(violations, call, 2, "unsafe request ran twice", isRunOnce(call));
             check(violations, call, 3, "refused although an endpoint may have run it", isRefusalTrue(call));
@@ -37,15 +79,44 @@
     }
 
     private static boolean isAnswered(SoakCall call) {
+        return outcome(call).compareTo(Outcome.DROPPED) < 0;
+    }
+
+    private static Outcome outcome(SoakCall call) {
         SoakResponse response = call.response();
-        boolean isComplete = response != null && response.isComplete();
-        return isComplete || call.isAbandoned() || !call.isSent() || !isRead(call) || isCutAllowed(call);
+        if (response != null && response.isComplete()) {
+            return Outcome.ANSWERED;
+        }
+        if (call.isAbandoned()) {
+            return Outcome.CALLER_LEFT;
+        }
+        if (!call.isSent()) {
+            return Outcome.NOT_SENT;
+        }
+        if (isRead(call)) {
+            return isBrokenOff(call)
+                    ? Outcome.BROKEN_OFF
+                    : isAtWorkAtTheEnd(call) ? Outcome.AT_WORK_AT_THE_END : Outcome.LOST;
+        }
+        if (isBehindTheClose(call)) {
+            return Outcome.BEHIND_THE_CLOSE;
+        }
+        boolean isEndedLate = call.endedNanos() - call.lastWriteNanos() > LOSS_SLACK_NANOS;
+        // A process that closes a connection with unread bytes resets it.
+        boolean isReset = response == null || !response.end().equals(SoakResponse.CLOSED);
+        return isEndedLate && !isReset ? Outcome.DROPPED : Outcome.NOT_READ;
+    }
+
+    private static boolean isBehindTheClose(SoakCall call) {
+        SoakCall before = call.pipelinedAfter();
+        SoakResponse response = before == null ? null : before.response();
+        return call.isBehindAnnouncedClose() || (response != null && response.isLastOnConnection());
     }
 
     /** Returns whether the instance certainly read the whole request. */
     private static boolean isRead(SoakCall call) {
         return !call.arrivals().isEmpty()
-                || !call.gateway().harness().callEvents(call.id()).isEmpty()
+                || !call.gateway().callEvents(call.id()).isEmpty()
                 || isReadBehindStream(call);
     }
 
@@ -69,17 +140,27 @@
 
     /** Returns whether a started stream may end early, because of its endpoint or because of the end of the process. */
     private static boolean isCutAllowed(SoakCall call) {
+        return isBrokenOff(call) || isAtWorkAtTheEnd(call);
+    }
+
+    /** Returns whether the endpoint broke off a stream that no endpoint resumed. */
+    private static boolean isBrokenOff(SoakCall call) {
         SoakResponse response = call.response();
         if (call.kind() != SoakCall.Kind.STREAM || call.arrivals().isEmpty() || response == null) {
             return false;
         }
         SoakCall.Arrival last = call.arrivals().get(call.arrivals().size() - 1);
-        // A stream that its endpoint broke off and that no endpoint resumed.
-        boolean isBrokenOff = call.arrivals().stream().anyMatch(arrival -> arrival.action() == SoakCall.Action.RESET)
+        return response.status() == 200
+                && call.arrivals().stream().anyMatch(arrival -> arrival.action() == SoakCall.Action.RESET)
                 && (last.action() == SoakCall.Action.RESET || last.action() == SoakCall.Action.REFUSED);
-        if (response.status() == 200 && isBrokenOff) {
-            return true;
+    }
+
+    /** Returns whether an endpoint was still at work, at the end of the grace time, on a request that was sent early. */
+    private static boolean isAtWorkAtTheEnd(SoakCall call) {
+        if (call.kind() != SoakCall.Kind.STREAM || call.arrivals().isEmpty() || call.response() == null) {
+            return false;
         }
+        SoakCall.Arrival last = call.arrivals().get(call.arrivals().size() - 1);
         SoakGateway gateway = call.gateway();
         double latestRequestNanos =
                 gateway.signalNanos() + LATEST_REQUEST_SHARE * gateway.graceSeconds() * NANOS_PER_SECOND;
--- a/gateway/src/test/java/org/jasminehub/gateway/SoakResponse.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/SoakResponse.java
@@ -20,6 +20,9 @@
     /** An event of a stream, as written by {@link SoakReply}. */
     record StreamEvent(int id, long writtenNanos) {}
 
+    /** The connection was closed regularly, not reset. */
+    static final String CLOSED = "connection closed";
+
     static final String TIMED_OUT = "no data within the time-out";
 
     private static final String HEAD_END = "\r\n\r\n";
@@ -40,7 +43,7 @@
             }
             return new SoakResponse(head.toString(), body.toString(), true, "complete");
         } catch (EndOfStream e) {
-            return new SoakResponse(head.toString(), body.toString(), false, "connection closed");
+            return new SoakResponse(head.toString(), body.toString(), false, CLOSED);
         } catch (SocketTimeoutException e) {
             return new SoakResponse(head.toString(), body.toString(), false, TIMED_OUT);
         } catch (IOException e) {
--- a/gateway/src/test/java/org/jasminehub/gateway/SoakRun.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/SoakRun.java
@@ -16,7 +16,7 @@
 import org.jspecify.annotations.Nullable;
 
 /** One seeded run: entry instances that are started and stopped in series under the load of many callers. */
-final class SoakRun {
+final class SoakRun implements SoakLoad {
     private static final int GATEWAYS = 3;
     private static final int CALLERS = 40;
     /** With a single endpoint, calls wait in the queue. */
@@ -29,7 +29,7 @@
     private final long startNanos = System.nanoTime();
     private final SplittableRandom random;
     private final Map<String, SoakCall> callsById = new ConcurrentHashMap<>();
-    private final Map<Integer, SoakGateway> gateways = new ConcurrentSkipListMap<>();
+    private final Map<Integer, InProcessGateway> gateways = new ConcurrentSkipListMap<>();
     private final double[] graceSeconds = new double[GATEWAYS];
     private final List<ScriptedEndpoint> endpoints = new ArrayList<>();
     private final List<Thread> threads = new ArrayList<>();
@@ -57,12 +57,13 @@
         List<Thread> starts = List.of(startThread("start-0", () -> start(0)), startThread("start-1", () -> start(1)));
         starts.forEach(SoakRun::join);
         for (int index = 0; index < CALLERS; index++) {
-            startThread("c" + index, new SoakCaller("s" + seed + "-c" + index, this, random.split()));
+            startThread(
+                    "c" + index, new SoakCaller("s" + seed + "-c" + index, this, random.split(), CallerManner.PROMPT));
         }
         List<Thread> stops = new ArrayList<>();
         for (int index = 0; index < GATEWAYS; index++) {
             LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(300 + random.nextInt(1_200)));
-            SoakGateway next = gateway(index);
+            InProcessGateway next = gateway(index);
             stops.add(startThread("stop-" + index, next::stop));
             if (index == 0) {
                 startThread("start-2", () -> start(2));
@@ -120,19 +121,22 @@
         return response != null && response.isComplete() && response.status() == status;
     }
 
-    boolean isOver() {
+    @Override
+    public boolean isOver() {
         return isOver;
     }
 
     /** Returns an instance whose process has not ended; one that is stopping is as likely as any other. */
-    SoakGateway pick(SplittableRandom callerRandom) {
-        List<SoakGateway> running =
+    @Override
+    public SoakGateway pick(SplittableRandom callerRandom) {
+        List<? extends SoakGateway> running =
                 gateways.values().stream().filter(gateway -> !gateway.isEnded()).toList();
-        List<SoakGateway> candidates = running.isEmpty() ? List.copyOf(gateways.values()) : running;
+        List<? extends SoakGateway> candidates = running.isEmpty() ? List.copyOf(gateways.values()) : running;
         return candidates.get(callerRandom.nextInt(candidates.size()));
     }
 
-    SoakCall newCall(
+    @Override
+    public SoakCall newCall(
             String id, SoakCall.Kind kind, SoakGateway gateway, int eventCount, @Nullable SoakCall pipelinedAfter) {
         SoakCall call = new SoakCall(id, kind, gateway, eventCount, pipelinedAfter, startNanos);
         callsById.put(id, call);
@@ -140,11 +144,11 @@
     }
 
     private void start(int index) {
-        gateways.put(index, new SoakGateway("g" + index, graceSeconds[index], endpoints));
+        gateways.put(index, new InProcessGateway("g" + index, graceSeconds[index], endpoints));
     }
 
     /** Waits until the instance number {@code index} has started. */
-    private SoakGateway gateway(int index) {
+    private InProcessGateway gateway(int index) {
         GatewayHarness.await(() -> gateways.containsKey(index));
         return gateways.get(index);
     }
@@ -164,7 +168,7 @@
     /** Returns what is left of the instances after their end. */
     private List<String> remains() {
         List<String> remains = new ArrayList<>();
-        for (SoakGateway gateway : gateways.values()) {
+        for (InProcessGateway gateway : gateways.values()) {
             if (!gateway.harness().entry().client().loop().isTerminated()) {
                 remains.add("invariant 5: the event loop of " + gateway.name() + " is still running");
             }
