The time of a stop counts from the signal, not from its handling

What callers saw: a process was killed at the end of its grace time while requests were open; they ended without an answer and without a line in the log.

Cause: a drain counted its time limit from the moment at which the event loop handled the stop. Class of fault: a deadline that counts from the handling of an event instead of the event. DrainController of the project's own entry instances had the same fault; it now takes the time before it queues the work.

The margin before the end of the grace time is a tenth of it (400 ms to 1 s), for the log of a slow machine. The stop hook leaves 320 ms for the log when the event loop has not completed the stop.

Ruled out: ends by SIGHUP and responses lost at the end have other causes and are still red.

The stops in one JVM: PlannedStop*Test green, as before.

--- a/core/src/main/java/org/jasminehub/core/drain/EntryDrain.java
+++ b/core/src/main/java/org/jasminehub/core/drain/EntryDrain.java
@@ -19,16 +19,27 @@
     private final long startedMillis;
     private volatile DrainPhase phase = DrainPhase.ANNOUNCED;
 
-    /** Starts the drain; the instance must already have been removed from the address list. */
+    /**
+     * Starts the drain; the instance must already have been removed from the address list.
+     *
+     * @param startedMillis when the instance was asked to stop, by the monotonic clock; a busy instance handles the
+     *     request later, and its time is limited from the request on
+     */
     public EntryDrain(
-            String instance, EntryDrainPolicy policy, IntSupplier openRequests, Clock clock, EventSink events) {
+            String instance,
+            EntryDrainPolicy policy,
+            IntSupplier openRequests,
+            long startedMillis,
+            Clock clock,
+            EventSink events) {
         this.instance = instance;
         this.policy = policy;
         this.openRequests = openRequests;
         this.clock = clock;
         this.events = events;
-        this.startedMillis = clock.monotonicMillis();
-        events.emit(new DrainPhaseChanged(instance, phase.name(), 0, openRequests.getAsInt()));
+        this.startedMillis = startedMillis;
+        events.emit(new DrainPhaseChanged(
+                instance, phase.name(), clock.monotonicMillis() - startedMillis, openRequests.getAsInt()));
     }
 
     /** Updates the phase and returns it. */
--- a/core/src/test/java/org/jasminehub/core/drain/EntryDrainTest.java
+++ b/core/src/test/java/org/jasminehub/core/drain/EntryDrainTest.java
@@ -27,9 +27,9 @@
         int failures = 0;
         for (int leaving = 0; leaving < instanceCount; leaving++) {
             int index = leaving;
-            EntryDrain drain =
-                    new EntryDrain("entry-" + leaving, policy, () -> countOpen(streamEnds[index]), clock, events::add);
             long startedMillis = clock.monotonicMillis();
+            EntryDrain drain = new EntryDrain(
+                    "entry-" + leaving, policy, () -> countOpen(streamEnds[index]), startedMillis, clock, events::add);
             while (drain.advance() != DrainPhase.STOPPED) {
                 clock.advanceMillis(1 + random.nextInt(20));
                 long listFetchedMillis = clock.monotonicMillis() - random.nextInt(TTL_MILLIS + 1);
@@ -97,7 +97,7 @@
     @Test
     void testDrainStopsAtTimeLimitAndReportsOpenRequests() {
         EntryDrainPolicy policy = new EntryDrainPolicy(LIST_LAG_MILLIS, TTL_MILLIS, MAX_DRAIN_MILLIS);
-        EntryDrain drain = new EntryDrain("entry-1", policy, () -> 3, clock, events::add);
+        EntryDrain drain = new EntryDrain("entry-1", policy, () -> 3, 0, clock, events::add);
         clock.advanceMillis(MAX_DRAIN_MILLIS);
         assertEquals(DrainPhase.STOPPED, drain.advance());
         assertEquals(new DrainReport("entry-1", MAX_DRAIN_MILLIS, 3, true), events.get(events.size() - 1));
@@ -105,6 +105,17 @@
                 DrainEventKind.DRAIN_CUT_SHORT, events.get(events.size() - 1).kind());
     }
 
+    @Test
+    void testADrainThatIsHandledLateStopsAtTheTimeLimitOfTheRequest() {
+        EntryDrainPolicy policy = new EntryDrainPolicy(LIST_LAG_MILLIS, TTL_MILLIS, MAX_DRAIN_MILLIS);
+        clock.advanceMillis(900);
+        EntryDrain drain = new EntryDrain("entry-1", policy, () -> 3, 0, clock, events::add);
+        clock.advanceMillis(MAX_DRAIN_MILLIS - 901);
+        assertEquals(DrainPhase.FINISHING, drain.advance());
+        clock.advanceMillis(1);
+        assertEquals(DrainPhase.STOPPED, drain.advance());
+    }
+
     @Test
     void testAgentAcceptsItsOwnKeysUntilTheyHaveMoved() {
         AgentDrainPolicy policy = new AgentDrainPolicy(3_000, 60_000);
--- a/entry/src/main/java/org/jasminehub/entry/drain/DrainController.java
+++ b/entry/src/main/java/org/jasminehub/entry/drain/DrainController.java
@@ -55,9 +55,10 @@
 
     /** Starts draining. The returned stage completes when the process may exit. */
     public CompletionStage<Void> begin() {
+        long requestedMillis = clock.monotonicMillis();
         control.execute(() -> {
             if (drain == null) {
-                drain = new EntryDrain(instance, policy, open::get, clock, events);
+                drain = new EntryDrain(instance, policy, open::get, requestedMillis, clock, events);
                 control.runPeriodically(this::advance, POLL_INTERVAL_MILLIS);
             }
         });
--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -392,6 +392,6 @@
                 stopSequence.run(open, dispatcher, signalledMillis);
             }
         });
-        stopSequence.await();
+        stopSequence.await(signalledMillis);
     }
 }
--- a/gateway/src/main/java/org/jasminehub/gateway/StopSequence.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/StopSequence.java
@@ -26,7 +26,13 @@
     private static final long LIST_LAG_MILLIS = 500;
 
     /** The process ends this long before the grace time, so that the platform never kills it during an open call. */
-    private static final long END_MARGIN_MILLIS = 400;
+    private static final long MIN_END_MARGIN_MILLIS = 400;
+
+    private static final long MAX_END_MARGIN_MILLIS = 1_000;
+    private static final double END_MARGIN_SHARE = 0.1;
+
+    /** Left for the log when the event loop has not completed the stop in time. */
+    private static final long LOG_MILLIS = 320;
 
     private final GatewaySettings settings;
     private final EntryDrainPolicy policy;
@@ -35,7 +41,7 @@
     private final EventSink events;
     private final CountDownLatch done = new CountDownLatch(1);
     private final long graceMillis;
-    private @Nullable EntryDrain drain;
+    private volatile @Nullable EntryDrain drain;
     private long startedMillis;
 
     StopSequence(GatewaySettings settings, Clock clock, DelayedRunner timer, EventSink events) {
@@ -48,7 +54,9 @@
     }
 
     private static EntryDrainPolicy policy(long graceMillis) {
-        long maxDrainMillis = Math.max(1, graceMillis - END_MARGIN_MILLIS);
+        long marginMillis =
+                (long) Math.max(MIN_END_MARGIN_MILLIS, Math.min(MAX_END_MARGIN_MILLIS, END_MARGIN_SHARE * graceMillis));
+        long maxDrainMillis = Math.max(1, graceMillis - marginMillis);
         // A short grace time must leave time for the calls that are open when new ones are no longer accepted.
         long listLagMillis = Math.min(LIST_LAG_MILLIS, Math.min(graceMillis / 16, maxDrainMillis / 4));
         long addressTtlMillis = Math.min(DirectoryHandler.TTL_MILLIS, Math.min(graceMillis / 4, maxDrainMillis / 2));
@@ -67,7 +75,8 @@
                 settings.instance(),
                 calls.openCalls() + " open calls",
                 elapsedMillis()));
-        EntryDrain started = new EntryDrain(settings.instance(), policy, callers::connections, clock, events);
+        EntryDrain started =
+                new EntryDrain(settings.instance(), policy, callers::connections, signalledMillis, clock, events);
         drain = started;
         poll(started, callers, calls);
     }
@@ -106,14 +115,20 @@
         done.countDown();
     }
 
-    void await() {
+    /**
+     * Blocks until the sequence is complete or the grace time is nearly over.
+     *
+     * @param signalledMillis when the process was asked to stop, by the monotonic clock
+     */
+    void await(long signalledMillis) {
+        long limitMillis = signalledMillis + graceMillis - Math.min(LOG_MILLIS, graceMillis / 2);
         try {
-            if (!done.await(graceMillis, TimeUnit.MILLISECONDS)) {
+            if (!done.await(limitMillis - clock.monotonicMillis(), TimeUnit.MILLISECONDS)) {
                 events.emit(new ControlEvent(
                         ControlEventKind.PROCESS_STOP_OVERDUE,
                         settings.instance(),
                         drain == null ? "not begun" : "not complete",
-                        graceMillis));
+                        clock.monotonicMillis() - signalledMillis));
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
