A process ends only once every request that it has read has its response

What callers saw: at the end of a stop, a request that the process had read ended without an answer, although the log said that it was refused, or without any line. Most of them waited behind an open request on the same connection.

Cause: the stop ended the open calls and let the process end at once. The responses to requests behind them, and to requests that arrived in the last milliseconds, were created by the event loop while the JVM ended. Class of fault: work that was handed to an asynchronous component counts as done, and the process ends.

Now the stop waits, for a fortieth of the grace time at most, until the responses have been handed to the operating system, closes the connections that have theirs, and closes all connections on the event loop before the process may end, so that no request is read and then lost. The stop works on an interface, StopTarget, so that its decisions are tested with a manual clock.

Ruled out: a slow reader. The operating system goes on sending after the end of the process, and the process waits for open connections within the grace time; paced callers had no loss of their own.

--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -14,7 +14,6 @@
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.identity.FailureDomain;
-import org.jasminehub.core.serving.CallerLimits;
 import org.jasminehub.core.serving.RouteTable;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.gateway.call.CallDispatcher;
@@ -39,8 +38,6 @@
 import org.jasminehub.gateway.control.StoreReliability;
 import org.jasminehub.gateway.control.SuspensionDetector;
 import org.jasminehub.gateway.experts.ExpertCoordinator;
-import org.jasminehub.gateway.net.CallerHandler;
-import org.jasminehub.gateway.net.CallerServer;
 import org.jasminehub.gateway.net.EndpointAddress;
 import org.jasminehub.gateway.net.EndpointClient;
 import org.jasminehub.gateway.peer.PeerServer;
@@ -98,7 +95,7 @@
     private final CallDispatcher dispatcher;
     private final StopSequence stopSequence;
     private final QuarantineController quarantine;
-    private @Nullable CallerServer callers;
+    private @Nullable EntryTraffic entryTraffic;
     private boolean isReady;
     private boolean isStopping;
 
@@ -228,18 +225,19 @@
     /**
      * Opens all listeners and starts to read the configuration and the registrations; returns once all ports are bound.
      */
-    void start() {
+    synchronized void start() {
         CallPipeline pipeline = new CallPipeline(
                 clock,
                 this,
                 new CallSettings((long) (settings.revocationMillis() * FRESH_SHARE)),
                 stopSequence,
                 dispatcher);
-        callers = listen(settings.callerAddress(), pipeline);
+        EntryTraffic opened =
+                new EntryTraffic(loop, configuration, events, dispatcher, settings.callerAddress(), pipeline);
         DirectoryHandler directory = new DirectoryHandler(() -> isReady, peers::acceptingInstances, settings);
-        listen(settings.readinessAddress(), directory);
-        listen(settings.directoryAddress(), directory);
-        listen(
+        opened.listen(settings.readinessAddress(), directory);
+        opened.listen(settings.directoryAddress(), directory);
+        opened.listen(
                 EndpointAddress.parse(settings.peerAddress()).host() + ":" + settings.metricsPort(),
                 new MetricsHandler(metrics));
         registerGauges();
@@ -268,6 +266,7 @@
             experts.start();
             tick();
         });
+        entryTraffic = opened;
         events.emit(new ControlEvent(
                 ControlEventKind.PROCESS_STARTED, settings.instance(), "listening on " + settings.callerAddress(), 0));
     }
@@ -288,7 +287,7 @@
 
     /** Returns the port that callers connect to, or 0 before the start. */
     int callerPort() {
-        return callers == null ? 0 : callers.port();
+        return entryTraffic == null ? 0 : entryTraffic.callerPort();
     }
 
     /** Returns the names of the instances listed for callers. Thread-safe. */
@@ -310,15 +309,6 @@
                 .getNow();
     }
 
-    private CallerServer listen(String address, CallerHandler handler) {
-        return CallerServer.start(
-                loop,
-                EndpointAddress.parse(address),
-                () -> configuration.inForce().map(RouteTable::limits).orElse(CallerLimits.DEFAULT),
-                handler,
-                new MalformedRequestLog(events, configuration)::onMalformed);
-    }
-
     private static EndpointAddress addressOf(String host, int port) {
         return new EndpointAddress(host, port);
     }
@@ -376,22 +366,29 @@
         }
     }
 
-    /** Completes the open calls and deregisters; blocks until that is done or the grace time is nearly over. */
+    /**
+     * Completes the open calls and deregisters; blocks until that is done or the grace time is nearly over. Does nothing
+     * unless the program has started.
+     */
     void stop() {
-        long signalledMillis = clock.monotonicMillis();
+        long requestedMillis = clock.monotonicMillis();
+        EntryTraffic open = awaitTraffic();
+        if (open == null) {
+            return;
+        }
         loop.execute(() -> {
             isStopping = true;
             updateReadiness();
             peers.announce();
             registration.deregister();
-            CallerServer open = callers;
-            if (open == null) {
-                stopSequence.finish();
-            } else {
-                open.disableKeepAlive();
-                stopSequence.run(open, dispatcher, signalledMillis);
-            }
+            open.disableKeepAlive();
+            stopSequence.run(open, requestedMillis);
         });
-        stopSequence.await(signalledMillis);
+        stopSequence.await(requestedMillis);
+    }
+
+    /** Returns the traffic, null before the start; waits for the end of a start that has begun. */
+    private synchronized @Nullable EntryTraffic awaitTraffic() {
+        return entryTraffic;
     }
 }
--- /dev/null
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryTraffic.java
@@ -0,0 +1,99 @@
+package org.jasminehub.gateway;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Supplier;
+import org.jasminehub.core.event.EventSink;
+import org.jasminehub.core.serving.CallerLimits;
+import org.jasminehub.core.serving.RouteTable;
+import org.jasminehub.gateway.call.CallDispatcher;
+import org.jasminehub.gateway.control.ConfigurationController;
+import org.jasminehub.gateway.net.CallerHandler;
+import org.jasminehub.gateway.net.CallerServer;
+import org.jasminehub.gateway.net.EndpointAddress;
+
+/** The listeners of an entry instance and the calls that they have accepted. */
+final class EntryTraffic implements StopTarget {
+    private final EventLoop loop;
+    private final Supplier<CallerLimits> limits;
+    private final MalformedRequestLog malformed;
+    private final CallDispatcher calls;
+    private final CallerServer callers;
+    private final List<CallerServer> others = new ArrayList<>();
+
+    /** Listens for calls at {@code callerAddress}. */
+    EntryTraffic(
+            EventLoop loop,
+            ConfigurationController configuration,
+            EventSink events,
+            CallDispatcher calls,
+            String callerAddress,
+            CallerHandler handler) {
+        this.loop = loop;
+        this.limits = () -> configuration.inForce().map(RouteTable::limits).orElse(CallerLimits.DEFAULT);
+        this.malformed = new MalformedRequestLog(events, configuration);
+        this.calls = calls;
+        this.callers = start(callerAddress, handler);
+    }
+
+    private CallerServer start(String address, CallerHandler handler) {
+        return CallerServer.start(loop, EndpointAddress.parse(address), limits, handler, malformed::onMalformed);
+    }
+
+    /** Listens for other requests, which {@code handler} answers at once. */
+    void listen(String address, CallerHandler handler) {
+        others.add(start(address, handler));
+    }
+
+    /** Returns the port that callers connect to. */
+    int callerPort() {
+        return callers.port();
+    }
+
+    /** Makes every response whose head is not sent yet the last one on its connection. */
+    void disableKeepAlive() {
+        callers.disableKeepAlive();
+    }
+
+    @Override
+    public int connections() {
+        return callers.connections();
+    }
+
+    @Override
+    public int openCalls() {
+        return calls.openCalls();
+    }
+
+    @Override
+    public int unansweredConnections() {
+        return callers.unansweredConnections();
+    }
+
+    @Override
+    public void closeIdle() {
+        callers.closeIdle();
+    }
+
+    @Override
+    public void stopListening() {
+        callers.stopListening();
+    }
+
+    @Override
+    public void endOpenCalls() {
+        calls.endOpenCalls();
+    }
+
+    @Override
+    public void closeAnswered() {
+        callers.closeAnswered();
+    }
+
+    @Override
+    public void closeAll() {
+        callers.close();
+        others.forEach(CallerServer::close);
+    }
+}
--- a/gateway/src/main/java/org/jasminehub/gateway/StopSequence.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/StopSequence.java
@@ -8,29 +8,36 @@
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.gateway.call.CallAdmission;
-import org.jasminehub.gateway.call.CallDispatcher;
 import org.jasminehub.gateway.control.ControlEvent;
 import org.jasminehub.gateway.control.ControlEventKind;
 import org.jasminehub.gateway.control.DelayedRunner;
-import org.jasminehub.gateway.net.CallerServer;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Graceful shutdown: keeps serving until no caller has this address cached, then completes open calls within the grace
- * time.
+ * time. The process may end once every request that was read has its response, or none can be written any more.
+ *
+ * <p>All times count from the stop request, not from its handling by the event loop, which may be busy.
  */
 final class StopSequence implements CallAdmission {
     private static final long POLL_MILLIS = 50;
+    private static final long DELIVERY_POLL_MILLIS = 5;
 
     /** Covers the round trip of a caller that requests the address list again. */
     private static final long LIST_LAG_MILLIS = 500;
 
-    /** The process ends this long before the grace time, so that the platform never kills it during an open call. */
-    private static final long MIN_END_MARGIN_MILLIS = 400;
+    /** The share of the grace time for which the responses that end the open calls are written. */
+    private static final double DELIVERY_SHARE = 1 / 40.0;
 
-    private static final long MAX_END_MARGIN_MILLIS = 1_000;
+    /**
+     * The connections are closed this share of the grace time before its end, so that a slow machine can still write
+     * its log and is not killed meanwhile.
+     */
     private static final double END_MARGIN_SHARE = 0.1;
 
+    private static final long MIN_END_MARGIN_MILLIS = 400;
+    private static final long MAX_END_MARGIN_MILLIS = 1_000;
+
     /** Left for the log when the event loop has not completed the stop in time. */
     private static final long LOG_MILLIS = 320;
 
@@ -41,22 +48,23 @@
     private final EventSink events;
     private final CountDownLatch done = new CountDownLatch(1);
     private final long graceMillis;
+    private final long endMillis;
     private volatile @Nullable EntryDrain drain;
     private long startedMillis;
 
     StopSequence(GatewaySettings settings, Clock clock, DelayedRunner timer, EventSink events) {
         this.settings = settings;
         this.graceMillis = (long) (settings.graceSeconds() * TimeUnit.SECONDS.toMillis(1));
-        this.policy = policy(graceMillis);
+        long marginMillis =
+                (long) Math.max(MIN_END_MARGIN_MILLIS, Math.min(MAX_END_MARGIN_MILLIS, END_MARGIN_SHARE * graceMillis));
+        this.endMillis = Math.max(1, graceMillis - marginMillis);
+        this.policy = policy(graceMillis, Math.max(1, (long) (endMillis - DELIVERY_SHARE * graceMillis)));
         this.clock = clock;
         this.timer = timer;
         this.events = events;
     }
 
-    private static EntryDrainPolicy policy(long graceMillis) {
-        long marginMillis =
-                (long) Math.max(MIN_END_MARGIN_MILLIS, Math.min(MAX_END_MARGIN_MILLIS, END_MARGIN_SHARE * graceMillis));
-        long maxDrainMillis = Math.max(1, graceMillis - marginMillis);
+    private static EntryDrainPolicy policy(long graceMillis, long maxDrainMillis) {
         // A short grace time must leave time for the calls that are open when new ones are no longer accepted.
         long listLagMillis = Math.min(LIST_LAG_MILLIS, Math.min(graceMillis / 16, maxDrainMillis / 4));
         long addressTtlMillis = Math.min(DirectoryHandler.TTL_MILLIS, Math.min(graceMillis / 4, maxDrainMillis / 2));
@@ -66,19 +74,15 @@
     /**
      * Starts the sequence; the instance must not be listed for callers any more.
      *
-     * @param signalledMillis when the process was asked to stop, by the monotonic clock
+     * @param requestedMillis when the process was asked to stop, by the monotonic clock
      */
-    void run(CallerServer callers, CallDispatcher calls, long signalledMillis) {
-        startedMillis = signalledMillis;
-        events.emit(new ControlEvent(
-                ControlEventKind.PROCESS_STOPPING,
-                settings.instance(),
-                calls.openCalls() + " open calls",
-                elapsedMillis()));
+    void run(StopTarget target, long requestedMillis) {
+        startedMillis = requestedMillis;
+        emit(ControlEventKind.PROCESS_STOPPING, target.openCalls() + " open calls", elapsedMillis());
         EntryDrain started =
-                new EntryDrain(settings.instance(), policy, callers::connections, signalledMillis, clock, events);
+                new EntryDrain(settings.instance(), policy, target::connections, requestedMillis, clock, events);
         drain = started;
-        poll(started, callers, calls);
+        poll(started, target);
     }
 
     @Override
@@ -87,48 +91,63 @@
         return started == null || (!started.isStopped() && policy.accepts(elapsedMillis(), limitMillis));
     }
 
-    private void poll(EntryDrain started, CallerServer callers, CallDispatcher calls) {
+    private void poll(EntryDrain started, StopTarget target) {
         DrainPhase phase = started.advance();
         if (phase != DrainPhase.ANNOUNCED) {
-            callers.closeIdle();
+            target.closeIdle();
         }
         if (phase == DrainPhase.STOPPED) {
-            events.emit(new ControlEvent(
-                    ControlEventKind.PROCESS_STOPPED,
-                    settings.instance(),
-                    calls.openCalls() + " calls still open, " + callers.unansweredConnections()
-                            + " connections without their whole response",
-                    elapsedMillis()));
-            callers.stopListening();
-            calls.endOpenCalls();
-            finish();
+            int openCalls = target.openCalls();
+            target.stopListening();
+            target.endOpenCalls();
+            deliver(target, openCalls);
+            return;
+        }
+        timer.runAfter(POLL_MILLIS, () -> poll(started, target));
+    }
+
+    /** Waits until the last responses have been written; requests that were read behind others get theirs, too. */
+    private void deliver(StopTarget target, int openCalls) {
+        target.closeAnswered();
+        if (target.connections() > 0 && elapsedMillis() < endMillis) {
+            timer.runAfter(DELIVERY_POLL_MILLIS, () -> deliver(target, openCalls));
             return;
         }
-        timer.runAfter(POLL_MILLIS, () -> poll(started, callers, calls));
+        emit(
+                ControlEventKind.PROCESS_STOPPED,
+                openCalls + " calls were still open, " + target.unansweredConnections()
+                        + " connections are left without their whole response",
+                elapsedMillis());
+        // A request that is read after this would be lost with the process.
+        target.closeAll();
+        finish();
     }
 
     private long elapsedMillis() {
         return clock.monotonicMillis() - startedMillis;
     }
 
-    void finish() {
+    private void emit(ControlEventKind kind, String detail, long elapsedMillis) {
+        events.emit(new ControlEvent(kind, settings.instance(), detail, elapsedMillis));
+    }
+
+    private void finish() {
         done.countDown();
     }
 
     /**
      * Blocks until the sequence is complete or the grace time is nearly over.
      *
-     * @param signalledMillis when the process was asked to stop, by the monotonic clock
+     * @param requestedMillis when the process was asked to stop, by the monotonic clock
      */
-    void await(long signalledMillis) {
-        long limitMillis = signalledMillis + graceMillis - Math.min(LOG_MILLIS, graceMillis / 2);
+    void await(long requestedMillis) {
+        long limitMillis = requestedMillis + graceMillis - Math.min(LOG_MILLIS, graceMillis / 2);
         try {
             if (!done.await(limitMillis - clock.monotonicMillis(), TimeUnit.MILLISECONDS)) {
-                events.emit(new ControlEvent(
+                emit(
                         ControlEventKind.PROCESS_STOP_OVERDUE,
-                        settings.instance(),
-                        drain == null ? "not begun" : "not complete",
-                        clock.monotonicMillis() - signalledMillis));
+                        drain == null ? "the stop has not begun" : "the stop is not complete",
+                        clock.monotonicMillis() - requestedMillis);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/gateway/src/main/java/org/jasminehub/gateway/net/CallerConnection.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/CallerConnection.java
@@ -208,6 +208,14 @@
         return writer != null || (!isClosing && !pendingParts.isEmpty());
     }
 
+    /** Closes the connection unless a response is due or the caller may still be reading the last one. */
+    void closeIfAnswered(Channel channel) {
+        if (!isClosing && !isAnswerDue()) {
+            isClosing = true;
+            channel.close();
+        }
+    }
+
     /** Closes the connection if no request has been received or processed during the last few calls of this method. */
     void closeIfIdle(Channel channel) {
         idleChecks = writer == null && head == null ? idleChecks + 1 : 0;
--- a/gateway/src/main/java/org/jasminehub/gateway/net/CallerServer.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/CallerServer.java
@@ -119,6 +119,13 @@
         }
     }
 
+    /** Closes the connections on which every request that was read has its response. */
+    public void closeAnswered() {
+        for (Channel channel : List.copyOf(open)) {
+            channel.pipeline().get(CallerConnection.class).closeIfAnswered(channel);
+        }
+    }
+
     /** Accepts no further connections. */
     public void stopListening() {
         listening.close();
