SIGHUP and SIGTERM are handled from the start of the program

What callers saw: a process that got SIGHUP shortly after its start ended with code 129 and logged nothing; callers that were connected lost their connection.

Cause: the handlers of both signals were registered once the program had started, that is after its listeners were open. Class of fault: work is accepted before the process can end it properly.

SIGHUP is handled by the first statement of the program; a signal that arrives before the settings are known is handled once they are. The hook for SIGTERM is registered before the listeners are opened; a stop during the start waits for its end and then proceeds as usual.

--- a/gateway/src/main/java/org/jasminehub/gateway/Main.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/Main.java
@@ -21,7 +21,6 @@
 import org.jasminehub.runtime.settings.SettingsLoader;
 import org.jasminehub.runtime.time.SystemClock;
 import org.jspecify.annotations.Nullable;
-import sun.misc.Signal;
 
 /** Command line entry point of the programs on the hosting platform. */
 public final class Main {
@@ -38,6 +37,7 @@
     private static final String SETTINGS_VARIABLE = "JASMINEHUB_BOOT";
 
     private final PrintStream err;
+    private final ReloadSignal reload;
 
     @Parameter(description = "entry | rank-agent")
     private List<String> roles = new ArrayList<>();
@@ -57,15 +57,18 @@
     @Parameter(names = "--help", help = true, description = "prints this help")
     private boolean help;
 
-    Main(PrintStream err, @Nullable String settingsPath) {
+    Main(PrintStream err, @Nullable String settingsPath, ReloadSignal reload) {
         this.err = err;
         this.settingsPath = settingsPath;
+        this.reload = reload;
     }
 
     /** Runs a role until the process is stopped. */
     public static void main(String[] args) {
+        // First, because a SIGHUP that arrives before would end the process.
+        ReloadSignal reload = ReloadSignal.register();
         InternalLoggerFactory.setDefaultFactory(new DeferredLoggerFactory());
-        int code = new Main(System.err, System.getenv(SETTINGS_VARIABLE)).run(args);
+        int code = new Main(System.err, System.getenv(SETTINGS_VARIABLE), reload).run(args);
         if (code != EXIT_OK) {
             System.exit(code);
         }
@@ -103,7 +106,7 @@
             return EXIT_OK;
         }
         if (isRehearsal) {
-            Rehearsal.run();
+            Rehearsal.run(reload);
             System.exit(EXIT_OK);
         }
         if (roles.size() != 1 || settingsPath == null) {
@@ -128,12 +131,10 @@
         MetricRegistry metrics = new MetricRegistry();
         EventSink events = new MeteringEventSink(log, metrics);
         EntryProgram program = new EntryProgram(settings, clock, events, metrics);
-        program.start();
+        // Before the start, because callers may be connected before it is complete.
         stopOnShutdown(program::stop, log);
-        // Without a handler, SIGHUP would end the JVM.
-        Signal.handle(
-                new Signal("HUP"),
-                signal -> reload(path, settings.instance(), settings, GatewaySettings.class, events));
+        program.start();
+        reload.setAction(() -> reload(path, settings.instance(), settings, GatewaySettings.class, events));
         return EXIT_OK;
     }
 
@@ -144,10 +145,9 @@
         }
         AsyncEventSink log = new AsyncEventSink(clock, new DeferredEventLog(settings.instance())::emitAt, LOG_CAPACITY);
         RankAgentProgram program = new RankAgentProgram(settings, clock, log);
-        program.start();
         stopOnShutdown(program::stop, log);
-        Signal.handle(
-                new Signal("HUP"), signal -> reload(path, settings.instance(), settings, RankAgentSettings.class, log));
+        program.start();
+        reload.setAction(() -> reload(path, settings.instance(), settings, RankAgentSettings.class, log));
         return EXIT_OK;
     }
 
--- a/gateway/src/main/java/org/jasminehub/gateway/Rehearsal.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/Rehearsal.java
@@ -52,11 +52,15 @@
     private final int platformPort = freePort();
     private final SamplePlatform platform = new SamplePlatform(HOST + ":" + platformPort);
 
-    private Rehearsal() {}
+    private final ReloadSignal reload;
+
+    private Rehearsal(ReloadSignal reload) {
+        this.reload = reload;
+    }
 
     /** Starts both programs and returns once calls have been served; {@link System#exit} stops the programs. */
-    static void run() {
-        new Rehearsal().serveCalls();
+    static void run(ReloadSignal reload) {
+        new Rehearsal(reload).serveCalls();
         CoordinatorChoice.coordinator("group", List.of(new CoordinatorChoice.Candidate("rehearsal", 1)));
         ReplicaMap map = new ReplicaMap(2, new int[][][] {{{0}, {1}}});
         PlacementPlanner.plan(map, new double[][] {{3, 1}}, new double[] {1, 1}, new PlacementLimits(2, 1, 1, 0));
@@ -82,11 +86,11 @@
         }
     }
 
-    private static void start(String role, String settings) throws IOException {
+    private void start(String role, String settings) throws IOException {
         Path file = Files.createTempFile("rehearsal", ".yaml");
         try {
             Files.writeString(file, settings);
-            int code = new Main(System.err, file.toString()).run(role);
+            int code = new Main(System.err, file.toString(), reload).run(role);
             if (code != Main.EXIT_OK) {
                 throw new IOException(role + " did not start");
             }
--- a/gateway/src/test/java/org/jasminehub/gateway/GatewayProcess.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/GatewayProcess.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.io.Writer;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.file.Files;
@@ -11,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
 /** An entry instance that runs as a process of its own, with signals from outside. */
@@ -77,6 +79,30 @@
         return new GatewayProcess(name, host, graceSeconds, settings, directory);
     }
 
+    /**
+     * Starts an entry instance like {@link #start}, which reads its settings from a pipe.
+     *
+     * @param onRunning called when the program runs and waits for its settings
+     */
+    static GatewayProcess startFromPipe(
+            String name,
+            String host,
+            double graceSeconds,
+            String storeAddress,
+            Path directory,
+            Consumer<GatewayProcess> onRunning)
+            throws IOException, InterruptedException {
+        Path pipe = directory.resolve(name + "-" + host + ".pipe");
+        new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor();
+        GatewayProcess process = new GatewayProcess(name, host, graceSeconds, pipe, directory);
+        // Opening the pipe blocks until the process has opened it, too.
+        try (Writer settings = Files.newBufferedWriter(pipe)) {
+            onRunning.accept(process);
+            settings.write(settings(name, host, graceSeconds, storeAddress));
+        }
+        return process;
+    }
+
     /** Returns an address of the loopback interface that no other process of this JVM uses. */
     static String nextHost() {
         int number = NEXT_HOST.getAndIncrement();
