The event loop of a stopped process ends before the JVM does

Cause: PROCESS_STOPPED was logged 0.4 s before the kill. After the shutdown hook the JVM waits for threads in native code, which the selector of the event loop always is, for 300 ms or more. In that time the log is closed and the loop still reads requests.

The hook now ends the event loop before it closes the log. The end margin is an eighth of the grace time (400 ms to 1 s).

--- a/gateway/src/main/java/org/jasminehub/gateway/EntrySetup.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntrySetup.java
@@ -30,6 +30,8 @@
 
 /** Creates the parts of an entry instance that depend on its settings alone. */
 final class EntrySetup {
+    private static final long LOOP_END_MILLIS = 50;
+
     private EntrySetup() {}
 
     static InstanceRecord self(GatewaySettings settings, Clock clock) {
@@ -95,4 +97,12 @@
         return new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("gateway"), NioIoHandler.newFactory())
                 .next();
     }
+
+    /**
+     * Ends the event loop of a process that has stopped. Until the JVM has ended, which takes longer while a thread waits
+     * in the operating system, a running loop would go on reading requests that can no longer be answered or logged.
+     */
+    static void endLoop(EventLoop loop) {
+        loop.shutdownGracefully(0, LOOP_END_MILLIS, TimeUnit.MILLISECONDS).awaitUninterruptibly(LOOP_END_MILLIS);
+    }
 }
--- a/gateway/src/main/java/org/jasminehub/gateway/Main.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/Main.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import java.io.PrintStream;
 import java.nio.file.Path;
@@ -132,7 +133,7 @@
         EventSink events = new MeteringEventSink(log, metrics);
         EntryProgram program = new EntryProgram(settings, clock, events, metrics);
         // Before the start, because callers may be connected before it is complete.
-        stopOnShutdown(program::stop, log);
+        stopOnShutdown(program::stop, program.client().loop(), log);
         program.start();
         reload.setAction(() -> reload(path, settings.instance(), settings, GatewaySettings.class, events));
         return EXIT_OK;
@@ -145,16 +146,17 @@
         }
         AsyncEventSink log = new AsyncEventSink(clock, new DeferredEventLog(settings.instance())::emitAt, LOG_CAPACITY);
         RankAgentProgram program = new RankAgentProgram(settings, clock, log);
-        stopOnShutdown(program::stop, log);
+        stopOnShutdown(program::stop, program.loop(), log);
         program.start();
         reload.setAction(() -> reload(path, settings.instance(), settings, RankAgentSettings.class, log));
         return EXIT_OK;
     }
 
-    private static void stopOnShutdown(Runnable stop, AsyncEventSink log) {
+    private static void stopOnShutdown(Runnable stop, EventLoop loop, AsyncEventSink log) {
         Thread hook = new Thread(
                 () -> {
                     stop.run();
+                    EntrySetup.endLoop(loop);
                     log.close();
                 },
                 "stop");
--- a/gateway/src/main/java/org/jasminehub/gateway/StopSequence.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/StopSequence.java
@@ -33,7 +33,7 @@
      * The connections are closed this share of the grace time before its end, so that a slow machine can still write
      * its log and is not killed meanwhile.
      */
-    private static final double END_MARGIN_SHARE = 0.1;
+    private static final double END_MARGIN_SHARE = 0.125;
 
     private static final long MIN_END_MARGIN_MILLIS = 400;
     private static final long MAX_END_MARGIN_MILLIS = 1_000;
