A stopping process answers the requests that arrived before it closes its connections

Cause: the connections were closed in the same turn of the event loop that ended the open calls, before it had read what had arrived meanwhile.

The soak took the regular end of a connection for proof that the process had read the request. The JVM closes the sending side first, so that the caller sees a regular end, and then a reset if bytes were unread. Callers of the soak now check for the reset before a request counts as dropped; a request that crosses the close and is not passed on is allowed by the rule.

--- a/gateway/src/main/java/org/jasminehub/gateway/StopSequence.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/StopSequence.java
@@ -100,7 +100,8 @@
             int openCalls = target.openCalls();
             target.stopListening();
             target.endOpenCalls();
-            deliver(target, openCalls);
+            // Later, so that the event loop first reads the requests that have arrived meanwhile.
+            timer.runAfter(DELIVERY_POLL_MILLIS, () -> deliver(target, openCalls));
             return;
         }
         timer.runAfter(POLL_MILLIS, () -> poll(started, target));
--- a/gateway/src/test/java/org/jasminehub/gateway/ProcessSoakRun.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/ProcessSoakRun.java
@@ -92,6 +92,7 @@
         violations.addAll(SoakInvariants.violations(callsById.values()));
         System.out.println("seed " + seed + ": " + SoakInvariants.summary(callsById.values()) + ", " + processes.size()
                 + " processes, stopped after " + stopMillis + " ms, " + violations.size() + " violations");
+        violations.forEach(System.out::println);
         for (ScriptedEndpoint endpoint : endpoints) {
             endpoint.close();
         }
--- a/gateway/src/test/java/org/jasminehub/gateway/SoakCall.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/SoakCall.java
@@ -59,6 +59,7 @@
     private volatile boolean isSent;
     private volatile boolean isAbandoned;
     private volatile boolean isBehindAnnouncedClose;
+    private volatile boolean isReset;
     private volatile long endedNanos;
     private volatile long lastReadNanos;
     private volatile @Nullable SoakResponse response;
@@ -188,6 +189,23 @@
         note("caller got " + received.summary());
     }
 
+    /** Returns whether the connection was closed regularly before any byte of the response. */
+    boolean isClosedWithoutResponse() {
+        SoakResponse received = response;
+        return received != null && received.head().isEmpty() && received.end().equals(SoakResponse.CLOSED);
+    }
+
+    /** Records whether the closed connection was reset afterwards. */
+    void onClosed(boolean hasReset) {
+        isReset = hasReset;
+        note(hasReset ? "connection is reset" : "connection is not reset");
+    }
+
+    /** Returns whether the connection was reset, so that the process had not read all bytes. */
+    boolean isReset() {
+        return isReset;
+    }
+
     Arrival onArrival(String detail) {
         Arrival arrival = new Arrival();
         arrivals.add(arrival);
--- a/gateway/src/test/java/org/jasminehub/gateway/SoakCaller.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/SoakCaller.java
@@ -10,6 +10,7 @@
 /** A caller with seeded behaviour that uses each connection until it is closed, and old addresses as long as it can. */
 final class SoakCaller implements Runnable {
     private static final int MAX_EVENTS = 12;
+    private static final int RESET_MILLIS = 300;
 
     private final String name;
     private final SoakLoad load;
@@ -65,6 +66,10 @@
         SoakCall next = form > 4 && form < 9 ? pipeline(socket, call) : null;
         SoakResponse response = SoakResponse.read(in);
         call.onResponse(response, in.lastReadNanos());
+        if (call.isClosedWithoutResponse()) {
+            call.onClosed(isReset(socket));
+            return false;
+        }
         if (next != null) {
             if (!response.isComplete()) {
                 next.onResponse(new SoakResponse("", "", false, "connection ended before"), 0);
@@ -78,6 +83,20 @@
         return response.isComplete() && !isLeft && random.nextInt(12) > 0;
     }
 
+    /**
+     * Returns whether a closed connection has been reset, which shows that the process had not read all bytes. The JVM
+     * closes the sending side first, so that the caller sees a regular end before the reset.
+     */
+    private static boolean isReset(Socket socket) {
+        pause(RESET_MILLIS);
+        try {
+            socket.getOutputStream().write('\n');
+            return false;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
     /** Sends another request before the response to {@code call}. */
     private SoakCall pipeline(Socket socket, SoakCall call) {
         pause(random.nextInt(100));
