A cancelled second attempt uses up none of the attempts of a route

Callers saw: a stream without a first event for 2.5 s got a second attempt, its first endpoint sent events, which cancelled the second one, and broke off; the response was cut (endpoint-failed, sends=2, isRepeated=false) although the second endpoint had been sent the call and would have answered it. A request that was pipelined behind it ended with the connection. Cause: CallAttempts counted every ended attempt that may have run, also those that it ended itself because the other one had continued the stream. Class of fault: a limit on endpoints was counted in attempts. The limit of the route is one of servers, and the second server was one of them already. Ruled out: the stop (CancelledAttemptTest fails without one) and an empty retry budget (the test makes no other retry). Not done: keeping both attempts running, which doubles the work of the endpoints, and a third endpoint, which the route does not allow. Change: only failed attempts are counted against the route. Once as many endpoints as it allows may have run the call, only those of them that did not fail it may get it again (CallRetryPolicy.mayUse), in both directions and for a second silence. If none of these serves any more, the call is not queued. The limit of four sends, the retry budget and the checks of suspected calls stay.

--- a/core/src/main/java/org/jasminehub/core/balance/CallRetryPolicy.java
+++ b/core/src/main/java/org/jasminehub/core/balance/CallRetryPolicy.java
@@ -20,13 +20,26 @@
     /**
      * Returns whether a retry is allowed, apart from the retry budget.
      *
-     * @param runs the number of endpoints that may have run the call so far
+     * @param failedRuns the number of attempts so far that endpoints may have run and that failed; an attempt that was
+     *     ended here because another one continued the stream is not one of them
      * @param sends how often the call was sent so far
      */
-    public static boolean mayRetry(Route route, AttemptEnd end, int runs, int sends, long remainingMillis) {
-        if (remainingMillis < MIN_REMAINING_MILLIS || sends >= MAX_SENDS || runs >= route.maxAttempts()) {
+    public static boolean mayRetry(Route route, AttemptEnd end, int failedRuns, int sends, long remainingMillis) {
+        if (remainingMillis < MIN_REMAINING_MILLIS || sends >= MAX_SENDS || failedRuns >= route.maxAttempts()) {
             return false;
         }
         return end.isNotRun() || route.mayRetry();
     }
+
+    /**
+     * Returns whether a call may be sent to an endpoint. The route limits the number of endpoints that may run a call, not
+     * the number of sends; once that number is reached, only endpoints that did not fail the call may get it again.
+     *
+     * @param endpoints the number of endpoints that may have run the call or may be running it
+     * @param isOneOfThem whether the endpoint is one of these
+     * @param hasFailed whether the endpoint may have run the call and failed it
+     */
+    public static boolean mayUse(Route route, int endpoints, boolean isOneOfThem, boolean hasFailed) {
+        return endpoints < route.maxAttempts() || (isOneOfThem && !hasFailed);
+    }
 }
--- a/core/src/test/java/org/jasminehub/core/balance/CallRetryPolicyTest.java
+++ b/core/src/test/java/org/jasminehub/core/balance/CallRetryPolicyTest.java
@@ -41,4 +41,25 @@
             assertFalse(CallRetryPolicy.mayRetry(safe, AttemptEnd.FAILED, 1, 1, 10));
         }
     }
+
+    @Nested
+    final class Endpoints {
+        @Test
+        void testAnyEndpointMayBeUsedBelowTheLimitOfTheRoute() {
+            Route route = route(CallKind.STREAMING, true);
+
+            assertTrue(CallRetryPolicy.mayUse(route, 0, false, false));
+            assertTrue(CallRetryPolicy.mayUse(route, 1, false, false));
+            assertTrue(CallRetryPolicy.mayUse(route, 1, true, true), "the only endpoint of a service");
+        }
+
+        @Test
+        void testOnlyUsedEndpointsThatDidNotFailMayBeUsedAtTheLimitOfTheRoute() {
+            Route route = route(CallKind.STREAMING, true);
+
+            assertTrue(CallRetryPolicy.mayUse(route, 2, true, false));
+            assertFalse(CallRetryPolicy.mayUse(route, 2, true, true));
+            assertFalse(CallRetryPolicy.mayUse(route, 2, false, false));
+        }
+    }
 }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallAttempts.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallAttempts.java
@@ -15,7 +15,8 @@
 /**
  * The attempts of one call, of which at most two are open: the current one and, while a stream has no event from it, a
  * candidate at another endpoint. The first of them that continues the stream becomes or stays the current one, and the
- * other is ended. If the candidate fails, the current one stays open.
+ * other is ended. If the candidate fails, the current one stays open. An endpoint whose attempt was ended here has not
+ * failed the call and may get it again.
  */
 final class CallAttempts {
     /** Delay before a retry after an engine refused a call; about one or two passes of a group. */
@@ -24,12 +25,17 @@
     private final RunningCall call;
     private final CallDispatcher dispatcher;
     private final Set<EndpointId> triedEndpoints = new HashSet<>();
+    /** The endpoints of ended attempts that may have run the call. */
+    private final Set<EndpointId> ranEndpoints = new HashSet<>();
+
+    private final Set<EndpointId> failedEndpoints = new HashSet<>();
     private @Nullable Attempt current;
     private @Nullable Attempt candidate;
     private @Nullable ScheduledFuture<?> delayedRetry;
     private String lastEndpoint = "";
     private int sends;
     private int runs;
+    private int failedRuns;
 
     CallAttempts(RunningCall call) {
         this.call = call;
@@ -65,6 +71,25 @@
         return open != null && open.endpoint().id().equals(endpoint);
     }
 
+    /** Returns whether the route allows the call to be sent to {@code endpoint}. */
+    boolean mayUse(EndpointId endpoint) {
+        boolean isUsed = isOpenAt(endpoint) || ranEndpoints.contains(endpoint);
+        return CallRetryPolicy.mayUse(call.route(), usedEndpoints(), isUsed, failedEndpoints.contains(endpoint));
+    }
+
+    /** Returns whether some endpoints may not get the call although they may have capacity. */
+    boolean isRestricted() {
+        return current != null || usedEndpoints() >= call.route().maxAttempts();
+    }
+
+    /** Returns the number of endpoints that may have run the call or may be running it, without the candidate's. */
+    private int usedEndpoints() {
+        Attempt open = current;
+        boolean isCounted =
+                open == null || ranEndpoints.contains(open.endpoint().id());
+        return ranEndpoints.size() + (isCounted ? 0 : 1);
+    }
+
     boolean isCandidate(Attempt attempt) {
         return attempt == candidate;
     }
@@ -104,9 +129,10 @@
 
     /** Returns whether the call could be sent again if the current attempt were its only open one and failed now. */
     boolean mayRetryAfterRun() {
-        return CallRetryPolicy.mayRetry(call.route(), AttemptEnd.MAY_HAVE_RUN, runs + 1, sends, call.remainingMillis())
+        return CallRetryPolicy.mayRetry(
+                        call.route(), AttemptEnd.MAY_HAVE_RUN, failedRuns + 1, sends, call.remainingMillis())
                 && dispatcher.unavailability(call.service()).isEmpty()
-                && dispatcher.isAnyPermitted(call.service());
+                && dispatcher.isAnyPermitted(call.service(), this::mayUse);
     }
 
     /** Called repeatedly while a stream has no event from {@code silent}; starts a candidate if that is allowed. */
@@ -167,13 +193,14 @@
             cancel(other);
         } else if (attempt == other && silent != null) {
             makeCurrent(attempt);
-            runs++;
+            onRun(silent);
             silent.endAsSilent();
         }
     }
 
     /** Called when the connection of {@code attempt} was cut; no other attempt starts before it has been inspected. */
     void onInspection(Attempt attempt) {
+        failedEndpoints.add(attempt.endpoint().id());
         if (attempt == current) {
             stopWaiting();
         }
@@ -187,7 +214,11 @@
             failed.report(end, reason, true);
             return;
         }
-        runs += end.isNotRun() ? 0 : 1;
+        if (!end.isNotRun()) {
+            onRun(failed);
+            failedRuns++;
+            failedEndpoints.add(failed.endpoint().id());
+        }
         Attempt other = candidate;
         if (isCandidate) {
             candidate = null;
@@ -205,7 +236,8 @@
         }
         stopWaiting();
         current = null;
-        boolean isRetried = CallRetryPolicy.mayRetry(call.route(), end, runs, sends, call.remainingMillis())
+        boolean isRetried = CallRetryPolicy.mayRetry(call.route(), end, failedRuns, sends, call.remainingMillis())
+                && (!isRestricted() || dispatcher.isAnyServing(call.service(), this::mayUse))
                 && !call.identity().isSuspected()
                 && dispatcher.tryRetry(call.service());
         failed.report(end, reason, isRetried);
@@ -261,8 +293,14 @@
 
     private void cancel(@Nullable Attempt open) {
         if (open != null) {
-            runs++;
+            onRun(open);
             open.cancel();
         }
     }
+
+    /** Records that the endpoint of {@code ended} may have run the call. */
+    private void onRun(Attempt ended) {
+        runs++;
+        ranEndpoints.add(ended.endpoint().id());
+    }
 }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.jasminehub.core.balance.AttemptEnd;
 import org.jasminehub.core.balance.CallRetryBudget;
@@ -158,8 +159,9 @@
                 continue;
             }
             Optional<EndpointRecord> endpoint = selector.choose(call, queue);
-            if (endpoint.isEmpty() && call.attempts().isAnyOpen()) {
-                // The endpoint of its open attempt, which it may not use, may have capacity for the next calls.
+            if (endpoint.isEmpty() && call.attempts().isRestricted()) {
+                // An endpoint that this call may not use, as that of its open attempt, may have capacity for the next
+                // calls.
                 continue;
             }
             if (endpoint.isEmpty()) {
@@ -258,9 +260,15 @@
                 "no endpoint of " + service + " had room in time; " + queue.length() + " calls in line");
     }
 
-    /** Returns whether the rate limits of the endpoints of {@code service} allow a call to be sent to any of them now. */
-    boolean isAnyPermitted(String service) {
-        return endpoints.serving(service).stream().anyMatch(permits::maySend);
+    /** Returns whether the rate limits of the endpoints of {@code service} allow a call to be sent to a usable one now. */
+    boolean isAnyPermitted(String service, Predicate<EndpointId> isUsable) {
+        return endpoints.serving(service).stream()
+                .anyMatch(endpoint -> isUsable.test(endpoint.id()) && permits.maySend(endpoint));
+    }
+
+    /** Returns whether an endpoint of {@code service} that {@code isUsable} accepts calls, as far as is known here. */
+    boolean isAnyServing(String service, Predicate<EndpointId> isUsable) {
+        return endpoints.serving(service).stream().anyMatch(endpoint -> isUsable.test(endpoint.id()));
     }
 
     void enqueue(RunningCall call) {
--- a/gateway/src/main/java/org/jasminehub/gateway/call/EndpointSelector.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/EndpointSelector.java
@@ -77,6 +77,7 @@
         ToDoubleFunction<EndpointId> maxCallsPerSlot = maxCallsPerSlot(call, queue, serving);
         boolean isOnlyEndpoint = endpoints.serving(call.service()).size() == 1;
         List<EndpointRecord> candidates = serving.stream()
+                .filter(endpoint -> call.attempts().mayUse(endpoint.id()))
                 // A second copy at the endpoint of a silent stream is useful only if there is no other endpoint.
                 .filter(endpoint -> isOnlyEndpoint || !call.attempts().isOpenAt(endpoint.id()))
                 .filter(this::isPastQuietPeriod)
