Soak: each excuse is counted, and work at the end is seen at every endpoint

Seen: the summary of a soak run explained half of the requests without a whole response. A stream whose second attempt was refused late in the stop counted as lost although its first endpoint was at work. An attempt that the gateway had ended earlier counted as work at the end if it was the last one, and as broken off by the endpoint if that reset the connection later. Cause: only the last arrival was looked at, and endpoints noticed the end of a connection only in silent streams. Change: an endpoint notices the end of its connection while it waits and stops work. A stream may be cut late in the stop if any endpoint was at work then and its connection was open; a refused arrival is no work. SoakRun prints the counts of all outcomes. -Djasminehub.soak.examples=N prints the histories of N requests of each. Two outcomes are counted apart, which were allowed under another name: BEHIND_A_CUT (pipelined behind a response that was cut; so far NOT_READ) and LONG_BEHIND_THE_CLOSE (behind an announced close, ended later than the slack). One check was wrong: DROPPED dated the end of a connection by when the caller noticed it, even if it had not been reading. The end now counts as late if the caller began to read within the slack, or read for longer than the slack. Before: AT_WORK_AT_THE_END looked at one arrival only.

--- a/gateway/src/test/java/org/jasminehub/gateway/PlannedStopSoakTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/PlannedStopSoakTest.java
@@ -16,6 +16,7 @@
  * Planned stops under seeded load: a request that an instance has read gets a complete response.
  *
  * <p>Options: {@code -Djasminehub.soak.seeds} is the number of seeds, {@code -Djasminehub.soak.firstSeed} the first.
+ * {@code -Djasminehub.soak.examples} is the number of requests of each outcome whose histories are printed.
  */
 final class PlannedStopSoakTest {
     private static final int SEEDS = Integer.getInteger("jasminehub.soak.seeds", 8);
--- a/gateway/src/test/java/org/jasminehub/gateway/SoakCall.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/SoakCall.java
@@ -35,7 +35,7 @@
             return action;
         }
 
-        /** Returns when the gateway closed the connection of a silent stream, 0 if it did not or the stream is none. */
+        /** Returns when the endpoint noticed, while it was working, that the gateway had closed the connection, else 0. */
         long closedNanos() {
             return closedNanos;
         }
@@ -59,6 +59,7 @@
     private volatile boolean isSent;
     private volatile boolean isAbandoned;
     private volatile boolean isBehindAnnouncedClose;
+    private volatile long readingNanos;
     private volatile long endedNanos;
     private volatile @Nullable SoakResponse response;
 
@@ -170,6 +171,16 @@
         note("caller disconnects");
     }
 
+    /** Records that the caller begins to read; it notices an earlier end of the connection only now. */
+    void onReading() {
+        readingNanos = System.nanoTime();
+        note("caller reads");
+    }
+
+    long readingNanos() {
+        return readingNanos;
+    }
+
     void onResponse(SoakResponse received) {
         endedNanos = System.nanoTime();
         response = received;
@@ -189,10 +200,10 @@
         note("endpoint: " + action);
     }
 
-    /** Records that the gateway closed the connection on which the endpoint stays silent. */
+    /** Records that the gateway closed the connection while the endpoint was working on the request. */
     void onClosedByGateway(Arrival arrival) {
         arrival.closedNanos = System.nanoTime();
-        note("gateway ends the silent attempt");
+        note("gateway ends the attempt");
     }
 
     /** Adds a line to the history of the request. */
--- a/gateway/src/test/java/org/jasminehub/gateway/SoakCaller.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/SoakCaller.java
@@ -64,6 +64,7 @@
             return false;
         }
         SoakCall next = form > 4 && form < 9 ? pipeline(socket, call) : null;
+        call.onReading();
         SoakResponse response = SoakResponse.read(in);
         call.onResponse(response);
         if (next != null) {
@@ -71,6 +72,7 @@
                 next.onResponse(new SoakResponse("", "", false, "connection ended before"));
                 return false;
             }
+            next.onReading();
             response = SoakResponse.read(in);
             next.onResponse(response);
         }
--- a/gateway/src/test/java/org/jasminehub/gateway/SoakInvariants.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/SoakInvariants.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.EnumMap;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -34,6 +35,10 @@
         AT_WORK_AT_THE_END,
         /** Sent behind a response that announced the close. */
         BEHIND_THE_CLOSE,
+        /** As before, but the connection ended later than the slack, so that the instance may have read the request. */
+        LONG_BEHIND_THE_CLOSE,
+        /** Pipelined behind a response that was cut, which left no way to answer it. */
+        BEHIND_A_CUT,
         /** Read but not passed on, and ended without an answer later than the slack. */
         DROPPED,
         /** Passed on to an endpoint, and ended without a whole answer. */
@@ -57,6 +62,16 @@
         return calls.size() + " requests " + counts + ", statuses " + statuses;
     }
 
+    /** Prints up to {@code countOfEach} requests of each outcome without a whole response, with their histories. */
+    static void printExamples(Collection<SoakCall> calls, int countOfEach) {
+        for (Outcome outcome : EnumSet.range(Outcome.NOT_READ, Outcome.LOST)) {
+            calls.stream()
+                    .filter(call -> outcome(call) == outcome)
+                    .limit(countOfEach)
+                    .forEach(call -> System.out.println(outcome + ": " + call.describe()));
+        }
+    }
+
     /** Returns a description of each violation, with the history of the request. */
     static List<String> violations(Collection<SoakCall> calls) {
         List<String> violations = new ArrayList<>();
@@ -99,12 +114,26 @@
                     : isAtWorkAtTheEnd(call) ? Outcome.AT_WORK_AT_THE_END : Outcome.LOST;
         }
         if (isBehindTheClose(call)) {
-            return Outcome.BEHIND_THE_CLOSE;
+            return isEndedLate(call) ? Outcome.LONG_BEHIND_THE_CLOSE : Outcome.BEHIND_THE_CLOSE;
+        }
+        if (isBehindACut(call)) {
+            return Outcome.BEHIND_A_CUT;
         }
-        boolean isEndedLate = call.endedNanos() - call.lastWriteNanos() > LOSS_SLACK_NANOS;
         // A process that closes a connection with unread bytes resets it.
         boolean isReset = response == null || !response.end().equals(SoakResponse.CLOSED);
-        return isEndedLate && !isReset ? Outcome.DROPPED : Outcome.NOT_READ;
+        return isEndedLate(call) && !isReset ? Outcome.DROPPED : Outcome.NOT_READ;
+    }
+
+    /**
+     * Returns whether the connection ended later than the slack. An end from before the caller began to read is noticed
+     * then, so it shows nothing unless the caller began to read within the slack.
+     */
+    private static boolean isEndedLate(SoakCall call) {
+        SoakCall before = call.pipelinedAfter();
+        long readingNanos = before == null ? call.readingNanos() : before.readingNanos();
+        boolean isNoticedAtOnce = readingNanos - call.lastWriteNanos() <= LOSS_SLACK_NANOS
+                || call.endedNanos() - readingNanos > LOSS_SLACK_NANOS;
+        return isNoticedAtOnce && call.endedNanos() - call.lastWriteNanos() > LOSS_SLACK_NANOS;
     }
 
     private static boolean isBehindTheClose(SoakCall call) {
@@ -113,6 +142,12 @@
         return call.isBehindAnnouncedClose() || (response != null && response.isLastOnConnection());
     }
 
+    private static boolean isBehindACut(SoakCall call) {
+        SoakCall before = call.pipelinedAfter();
+        SoakResponse response = before == null ? null : before.response();
+        return response != null && !response.isComplete() && isRead(before);
+    }
+
     /** Returns whether the instance certainly read the whole request. */
     private static boolean isRead(SoakCall call) {
         return !call.arrivals().isEmpty()
@@ -160,18 +195,22 @@
         if (call.kind() != SoakCall.Kind.STREAM || call.arrivals().isEmpty() || call.response() == null) {
             return false;
         }
-        SoakCall.Arrival last = call.arrivals().get(call.arrivals().size() - 1);
         SoakGateway gateway = call.gateway();
         double latestRequestNanos =
                 gateway.signalNanos() + LATEST_REQUEST_SHARE * gateway.graceSeconds() * NANOS_PER_SECOND;
         double cutAllowedNanos = gateway.signalNanos() + CUT_ALLOWED_SHARE * gateway.graceSeconds() * NANOS_PER_SECOND;
-        // A refused second attempt leaves the silent one open, which then is not the last arrival.
-        boolean isSilentOpen = call.arrivals().stream().anyMatch(arrival -> arrival.closedNanos() >= cutAllowedNanos);
-        boolean isStillWorking =
-                isSilentOpen || last.action() == SoakCall.Action.UNFINISHED || last.endedNanos() >= cutAllowedNanos;
+        // A refused second attempt leaves the first one open, which then is not the last arrival.
+        boolean isStillWorking = call.arrivals().stream().anyMatch(arrival -> isWorkingAt(arrival, cutAllowedNanos));
         return call.lastWriteNanos() <= latestRequestNanos && isStillWorking && call.endedNanos() >= cutAllowedNanos;
     }
 
+    /** Returns whether the endpoint was working on the request at {@code nanos} and the gateway still waited for it. */
+    private static boolean isWorkingAt(SoakCall.Arrival arrival, double nanos) {
+        boolean isUnfinished = arrival.action() == SoakCall.Action.UNFINISHED
+                || (arrival.action() != SoakCall.Action.REFUSED && arrival.endedNanos() >= nanos);
+        return isUnfinished && (arrival.closedNanos() == 0 || arrival.closedNanos() >= nanos);
+    }
+
     private static boolean isOwnResponse(SoakCall call) {
         SoakResponse response = call.response();
         return response == null
--- a/gateway/src/test/java/org/jasminehub/gateway/SoakReply.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/SoakReply.java
@@ -1,11 +1,11 @@
 package org.jasminehub.gateway;
 
+import java.io.EOFException;
 import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.LockSupport;
 
 /**
  * Answers, refuses, resets or ignores requests after seeded delays. What happens to a request depends only on the seed,
@@ -49,8 +49,25 @@
                 && kind < refusedShare + RESET_SHARE + SILENT_SHARE
                 && (haveSilentStreams || call.kind() != SoakCall.Kind.STREAM);
         SoakCall.Arrival arrival = call.onArrival(isSilent ? "which stays silent" : "which will end as " + action);
+        try {
+            return answer(request, socket, call, arrival, isSilent ? SoakCall.Action.UNFINISHED : action, random);
+        } catch (IOException e) {
+            call.onClosedByGateway(arrival);
+            throw e;
+        }
+    }
+
+    /** Ends as {@code action}, or stays silent from some time on if that is {@code UNFINISHED}. */
+    private static boolean answer(
+            ScriptedEndpoint.Request request,
+            Socket socket,
+            SoakCall call,
+            SoakCall.Arrival arrival,
+            SoakCall.Action action,
+            SplittableRandom random)
+            throws IOException {
         if (action == SoakCall.Action.REFUSED) {
-            pause(random.nextInt(50));
+            pause(socket, random.nextInt(50));
             // Recorded first, because the caller may have the response before this thread continues.
             call.onEndpointDone(arrival, action);
             ScriptedEndpoint.write(
@@ -59,19 +76,16 @@
                             + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
             return true;
         }
-        pause(delayMillis(random));
+        pause(socket, delayMillis(random));
         int from =
                 request.header("last-event-id").isEmpty() ? 1 : Integer.parseInt(request.header("last-event-id")) + 1;
-        int stopAfter = action == SoakCall.Action.RESET || isSilent
-                ? from + random.nextInt(1 + call.eventCount())
-                : Integer.MAX_VALUE;
+        boolean isWhole = action == SoakCall.Action.ANSWERED;
+        int stopAfter = !isWhole ? from + random.nextInt(1 + call.eventCount()) : Integer.MAX_VALUE;
         if (call.kind() == SoakCall.Kind.STREAM) {
             writeEvents(call, socket, from, Math.min(call.eventCount(), stopAfter), random);
         }
-        if (isSilent) {
-            awaitClose(socket);
-            call.onClosedByGateway(arrival);
-            return false;
+        if (action == SoakCall.Action.UNFINISHED) {
+            pause(socket, Integer.MAX_VALUE);
         }
         call.onEndpointDone(arrival, action);
         if (action == SoakCall.Action.RESET) {
@@ -95,18 +109,7 @@
         for (int id = from; id <= to; id++) {
             String event = "id: " + id + "\ndata: " + System.nanoTime() + "\n\n";
             ScriptedEndpoint.write(socket, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
-            pause(random.nextInt(maxGapMillis));
-        }
-    }
-
-    /** Waits until the gateway has closed the connection, on which it sends nothing during an exchange. */
-    private static void awaitClose(Socket socket) {
-        try {
-            while (socket.getInputStream().read() >= 0) {
-                // A byte behind the request; only the end matters.
-            }
-        } catch (IOException e) {
-            // Reset instead of closed.
+            pause(socket, random.nextInt(maxGapMillis));
         }
     }
 
@@ -119,7 +122,20 @@
         return kind < 18 ? random.nextInt(800) : 500 + random.nextInt(4_000);
     }
 
-    private static void pause(int millis) {
-        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis));
+    /** Waits for {@code millis}; fails as soon as the gateway closes the connection, as a write would only later. */
+    private static void pause(Socket socket, int millis) throws IOException {
+        if (millis == 0) {
+            return;
+        }
+        socket.setSoTimeout(millis);
+        try {
+            int value = socket.getInputStream().read();
+            if (value >= 0) {
+                throw new AssertionError("byte " + value + " received during a response");
+            }
+            throw new EOFException("closed by the gateway");
+        } catch (SocketTimeoutException e) {
+            socket.setSoTimeout(0);
+        }
     }
 }
--- a/gateway/src/test/java/org/jasminehub/gateway/SoakRun.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/SoakRun.java
@@ -24,6 +24,8 @@
     /** More than the number of requests that can arrive at one endpoint in one run. */
     private static final int MAX_ARRIVALS = 20_000;
 
+    private static final int EXAMPLES = Integer.getInteger("jasminehub.soak.examples", 0);
+
     private final long seed;
     private final boolean haveSilentStreams;
     private final long startNanos = System.nanoTime();
@@ -79,6 +81,7 @@
             violations.add("no request was served after a signal");
         }
         System.out.println("seed " + seed + ": " + summary() + ", " + violations.size() + " violations");
+        SoakInvariants.printExamples(callsById.values(), EXAMPLES);
         for (ScriptedEndpoint endpoint : endpoints) {
             endpoint.close();
         }
@@ -87,35 +90,14 @@
 
     private String summary() {
         Collection<SoakCall> calls = callsById.values();
-        long served = calls.stream().filter(call -> hasStatus(call, 200)).count();
-        long refused = calls.stream().filter(call -> hasStatus(call, 503)).count();
         long afterSignal = calls.stream().filter(SoakRun::isSentAfterSignal).count();
-        long cut = calls.stream()
-                .filter(call -> call.response() != null && !call.response().isComplete())
-                .count();
-        long dropped = calls.stream()
-                .filter(call -> call.isSent()
-                        && call.response() != null
-                        && call.response().head().isEmpty())
-                .filter(SoakRun::isBehindLastResponse)
-                .count();
-        return calls.size() + " requests, " + served + " served, " + refused + " refused, " + cut + " without a whole "
-                + "response, " + afterSignal + " sent after the signal, "
-                + dropped + " pipelined behind a response with Connection: close and dropped";
+        return SoakInvariants.summary(calls) + ", " + afterSignal + " sent after the signal";
     }
 
     private static boolean isSentAfterSignal(SoakCall call) {
         return call.lastWriteNanos() > call.gateway().signalNanos();
     }
 
-    private static boolean isBehindLastResponse(SoakCall call) {
-        SoakCall before = call.pipelinedAfter();
-        return before != null
-                && before.response() != null
-                && before.response().isComplete()
-                && before.response().isLastOnConnection();
-    }
-
     private static boolean hasStatus(SoakCall call, int status) {
         SoakResponse response = call.response();
         return response != null && response.isComplete() && response.status() == status;
