--- a/gateway/src/main/java/org/jasminehub/gateway/StopSequence.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/StopSequence.java
@@ -101,17 +101,24 @@
             target.stopListening();
             target.endOpenCalls();
             // Later, so that the event loop first reads the requests that have arrived meanwhile.
-            timer.runAfter(DELIVERY_POLL_MILLIS, () -> deliver(target, openCalls));
+            long deliveryEndMillis = deliveryEndMillis();
+            timer.runAfter(DELIVERY_POLL_MILLIS, () -> deliver(target, openCalls, deliveryEndMillis));
             return;
         }
         timer.runAfter(POLL_MILLIS, () -> poll(started, target));
     }
 
+    /** Returns when delivery ends; later than planned if the event loop is late, but not too late for the log. */
+    private long deliveryEndMillis() {
+        long deliveryMillis = (long) (DELIVERY_SHARE * graceMillis);
+        return Math.max(endMillis, Math.min(elapsedMillis() + deliveryMillis, graceMillis - LOG_MILLIS));
+    }
+
     /** Waits until the last responses have been written; requests that were read behind others get theirs, too. */
-    private void deliver(StopTarget target, int openCalls) {
+    private void deliver(StopTarget target, int openCalls, long deliveryEndMillis) {
         target.closeAnswered();
-        if (target.connections() > 0 && elapsedMillis() < endMillis) {
-            timer.runAfter(DELIVERY_POLL_MILLIS, () -> deliver(target, openCalls));
+        if (target.connections() > 0 && elapsedMillis() < deliveryEndMillis) {
+            timer.runAfter(DELIVERY_POLL_MILLIS, () -> deliver(target, openCalls, deliveryEndMillis));
             return;
         }
         emit(
--- a/gateway/src/test/java/org/jasminehub/gateway/SoakCall.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/SoakCall.java
@@ -35,7 +35,7 @@
             return action;
         }
 
-        /** Returns when the gateway closed the connection of a silent stream, 0 if it did not or the stream is none. */
+        /** Returns when the endpoint noticed, while it was working, that the gateway had closed the connection, else 0. */
         long closedNanos() {
             return closedNanos;
         }
@@ -219,10 +219,10 @@
         note("endpoint: " + action);
     }
 
-    /** Records that the gateway closed the connection on which the endpoint stays silent. */
+    /** Records that the gateway closed the connection while the endpoint was working on the request. */
     void onClosedByGateway(Arrival arrival) {
         arrival.closedNanos = System.nanoTime();
-        note("gateway ends the silent attempt");
+        note("gateway ends the attempt");
     }
 
     /** Adds a line to the history of the request. */
