--- a/core/src/main/java/org/jasminehub/core/serving/GroupSeat.java
+++ b/core/src/main/java/org/jasminehub/core/serving/GroupSeat.java
@@ -14,9 +14,13 @@
  * @param isOpen whether the group accepts work
  */
 public record GroupSeat(String group, long epoch, int rank, int size, boolean isOpen) {
-    /** Creates a membership; {@code rank} must be less than {@code size}. */
+    /** More than all accelerators of the largest deployment; bounds lists of all ranks. */
+    public static final int MAX_SIZE = 65_536;
+
+    /** Creates a membership; {@code rank} must be less than {@code size}, which is at most {@link #MAX_SIZE}. */
     public GroupSeat {
         Checks.notBlank("group", group);
+        Checks.inRange("size", size, 1, MAX_SIZE);
         Checks.that(rank >= 0 && rank < size, "rank", rank, "from 0 to below " + size);
     }
 }
