An odd record no longer ends the following of a log

What callers saw: with one record of another writer in the log of instances, an instance no longer followed that log, and one that started later did not follow the log or did not list itself for callers until the end of the test's time-out.

Cause: registrations of instances were used without checks of their fields. A port of 70000, an empty host or a quarantine without parts made a user of the directory throw, inside the callback of the read. The next read is scheduled after that callback, so none followed, and nothing was logged. The readiness, which the same callback updates last, was not updated either. Class of fault: one failing consumer ends a loop that schedules itself.

Ruled out: the log of endpoints.

Change: InstanceRecordDecoder rejects a registration whose name is not its key, whose host is no IP address, or with a port, era or number of cores out of range. A quarantine's key must contain a part and its end must not be negative. LogFollower logs RECORD_REJECTED for the topic if a listener fails all the same, confirms no age with that read, and reads on. An odd record over a good one of an instance leaves the earlier one in force, since instances register once.

InMemoryStore takes bytes as values and escapes keys in its pages.

--- a/gateway/src/main/java/org/jasminehub/gateway/control/InstanceDirectory.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/InstanceDirectory.java
@@ -7,9 +7,13 @@
 import java.util.Map;
 import java.util.Set;
 import org.jasminehub.core.era.EraTracker;
+import org.jasminehub.core.error.InvalidArgumentException;
 import org.jasminehub.core.event.EventSink;
+import org.jasminehub.core.internal.Checks;
+import org.jasminehub.core.quarantine.PartCombination;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.platform.hosted.KeyedRecord;
+import org.jasminehub.platform.hosted.RecordRejectedException;
 import org.jasminehub.platform.hosted.StoreClient;
 import org.jasminehub.platform.hosted.StoreTopic;
 import org.jasminehub.wire.generated.InstanceRecord;
@@ -147,11 +151,12 @@
             return;
         }
         try {
-            InstanceRecord decoded = InstanceRecord.parseFrom(value);
+            InstanceRecord decoded = InstanceRecordDecoder.decode(record.key(), value);
             if (!decoded.equals(instances.put(record.key(), decoded))) {
                 emit(record.key(), decoded.getHost() + " in " + decoded.getFailureDomain());
             }
-        } catch (InvalidProtocolBufferException e) {
+        } catch (RecordRejectedException e) {
+            // The instance registers only once, so its earlier registration holds.
             events.emit(new ControlEvent(
                     ControlEventKind.RECORD_REJECTED, record.key(), String.valueOf(e.getMessage()), 0));
         }
@@ -162,10 +167,12 @@
             if (value == null) {
                 quarantinedUntilWallMillis.remove(parts);
             } else {
-                quarantinedUntilWallMillis.put(
-                        parts, QuarantinedParts.parseFrom(value).getUntilWallMillis());
+                // Users of the quarantines parse the key, which names no part if another writer chose it.
+                PartCombination.parse(parts);
+                long untilWallMillis = QuarantinedParts.parseFrom(value).getUntilWallMillis();
+                quarantinedUntilWallMillis.put(parts, Checks.notNegative("end of a quarantine", untilWallMillis));
             }
-        } catch (InvalidProtocolBufferException e) {
+        } catch (InvalidProtocolBufferException | InvalidArgumentException e) {
             events.emit(new ControlEvent(
                     ControlEventKind.RECORD_REJECTED,
                     QUARANTINE_KEY_PREFIX + parts,
--- a/gateway/src/main/java/org/jasminehub/gateway/control/LogFollower.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/LogFollower.java
@@ -181,14 +181,9 @@
         retryDelayMillis = MIN_RETRY_MILLIS;
         nextOffset = slice.nextOffset();
         StateAge.ClockReading asOf = confirmedAt(requestedAt, waitMillis, slice);
-        listener.onSlice(slice, waitMillis == NO_WAIT, asOf.monotonicMillis());
-        if (waitMillis == NO_WAIT) {
-            listener.onSnapshot(slice.records());
-        } else if (!slice.records().isEmpty()) {
-            listener.onRecords(slice.records());
-        }
+        boolean isApplied = apply(slice, waitMillis == NO_WAIT, asOf.monotonicMillis());
         // After a restore the store does not show the lost records until they have been written again.
-        if (eras.isCompleteSince(requestedAt.monotonicMillis()) && listener.isUpToDate()) {
+        if (isApplied && eras.isCompleteSince(requestedAt.monotonicMillis()) && listener.isUpToDate()) {
             age.confirm(asOf);
         }
         // The read after a snapshot follows at once, since records may have been appended meanwhile.
@@ -198,6 +193,29 @@
                 () -> read(readGeneration));
     }
 
+    /**
+     * Passes the records to the listener and returns whether that succeeded. Listeners reject records that they cannot
+     * read; should one fail nevertheless, the next read must still be sent, or later records would never be seen.
+     */
+    private boolean apply(LogSlice slice, boolean isSnapshot, long asOfMillis) {
+        try {
+            listener.onSlice(slice, isSnapshot, asOfMillis);
+            if (isSnapshot) {
+                listener.onSnapshot(slice.records());
+            } else if (!slice.records().isEmpty()) {
+                listener.onRecords(slice.records());
+            }
+            return true;
+        } catch (RuntimeException | StackOverflowError e) {
+            events.emit(new ControlEvent(
+                    ControlEventKind.RECORD_REJECTED,
+                    topic.name(),
+                    "records before offset " + slice.nextOffset() + " could not be applied in full: " + e,
+                    age.millis()));
+            return false;
+        }
+    }
+
     /**
      * Returns the time as of which the slice is current. A read that waited in full without a record saw the log as it
      * was at the end of the wait.
--- a/gateway/src/test/java/org/jasminehub/gateway/InMemoryStore.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/InMemoryStore.java
@@ -1,5 +1,6 @@
 package org.jasminehub.gateway;
 
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -62,10 +63,12 @@
         return "127.0.0.1:" + server.port();
     }
 
-    synchronized void put(String topic, String key, String value) {
-        logsByTopic
-                .computeIfAbsent(topic, name -> new ArrayList<>())
-                .add(new Entry(key, value.getBytes(StandardCharsets.UTF_8)));
+    void put(String topic, String key, String value) {
+        put(topic, key, value.getBytes(StandardCharsets.UTF_8));
+    }
+
+    synchronized void put(String topic, String key, byte[] value) {
+        logsByTopic.computeIfAbsent(topic, name -> new ArrayList<>()).add(new Entry(key, value));
     }
 
     /** A copy of all records, as made some time before an incident. */
@@ -168,7 +171,9 @@
             if (entry.value().length > 0) {
                 items.put(
                         entry.key(),
-                        "{\"key\":\"" + entry.key() + "\",\"value\":\""
+                        "{\"key\":\""
+                                + String.valueOf(JsonStringEncoder.getInstance().quoteAsString(entry.key()))
+                                + "\",\"value\":\""
                                 + Base64.getEncoder().encodeToString(entry.value()) + "\",\"offset\":" + offset
                                 + "}");
             }
--- a/gateway/src/test/java/org/jasminehub/gateway/control/LogFollowerTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/control/LogFollowerTest.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.jasminehub.core.error.InvalidArgumentException;
 import org.jasminehub.platform.hosted.KeyedRecord;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -101,4 +102,65 @@
         store.answerRecords("a");
         assertEquals(List.of("a"), keys);
     }
+
+    /** Guards against a follower that ends without a trace because a record could not be applied. */
+    @Test
+    void testRecordsThatCannotBeAppliedDoNotEndTheFollowing() {
+        store.follow(FollowerSettings.waiting(() -> WAIT_MILLIS, TIMEOUT_MILLIS), failingOn("odd"))
+                .restart();
+        store.answerEmptySnapshot();
+        store.answerRecords("odd");
+        store.advance(TIMEOUT_MILLIS);
+        store.answerRecords("a");
+
+        assertEquals(List.of("a"), keys);
+        assertEquals(1, store.events.size());
+    }
+
+    /** A snapshot that could not be applied must not count as a confirmation of the state in use. */
+    @Test
+    void testASnapshotThatCannotBeAppliedConfirmsNothing() {
+        LogFollower follower =
+                store.follow(FollowerSettings.waiting(() -> WAIT_MILLIS, TIMEOUT_MILLIS), failingOnFirstSnapshot());
+        long neverMillis = follower.age().millis();
+        follower.restart();
+        store.answerEmptySnapshot();
+
+        assertEquals(neverMillis, follower.age().millis());
+        assertTrue(store.reads.element().uri().contains("from=0"));
+        store.answerRecords("a");
+        assertEquals(0, follower.age().millis());
+    }
+
+    private LogFollower.Listener failingOn(String key) {
+        return new LogFollower.Listener() {
+            @Override
+            public void onSnapshot(List<KeyedRecord> records) {}
+
+            @Override
+            public void onRecords(List<KeyedRecord> records) {
+                if (records.get(0).key().equals(key)) {
+                    throw new InvalidArgumentException("record", "odd", "one that can be applied");
+                }
+                listener.onRecords(records);
+            }
+        };
+    }
+
+    private static LogFollower.Listener failingOnFirstSnapshot() {
+        return new LogFollower.Listener() {
+            private boolean hasFailed;
+
+            @Override
+            public void onSnapshot(List<KeyedRecord> records) {
+                if (!hasFailed) {
+                    hasFailed = true;
+                    throw new InvalidArgumentException("record", "odd", "one that can be applied");
+                }
+            }
+
+            @Override
+            public void onRecords(List<KeyedRecord> records) {}
+        };
+    }
 }
--- a/gateway/src/test/java/org/jasminehub/gateway/control/ScriptedStore.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/control/ScriptedStore.java
@@ -8,7 +8,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.jasminehub.core.era.EraTracker;
-import org.jasminehub.core.event.EventSink;
+import org.jasminehub.core.event.Event;
 import org.jasminehub.core.time.ManualClock;
 import org.jasminehub.platform.hosted.StoreCall;
 import org.jasminehub.platform.hosted.StoreClient;
@@ -25,6 +25,7 @@
     final ManualClock clock = new ManualClock(1_000);
     final EraTracker eras = new EraTracker(clock);
     final Deque<OpenRead> reads = new ArrayDeque<>();
+    final List<Event> events = new ArrayList<>();
     private final List<Delayed> timers = new ArrayList<>();
     private final StoreClient client = new StoreClient(
             (call, timeoutMillis) -> {
@@ -39,11 +40,8 @@
     }
 
     LogFollower follow(FollowerSettings settings, LogFollower.Listener listener) {
-        return new LogFollower(client, StoreTopic.INSTANCES, settings, this::runAfter, clock, event(), eras, listener);
-    }
-
-    private static EventSink event() {
-        return event -> {};
+        return new LogFollower(
+                client, StoreTopic.INSTANCES, settings, this::runAfter, clock, events::add, eras, listener);
     }
 
     private void runAfter(long delayMillis, Runnable action) {
