An endpoint whose entry cannot be read is used no longer

What callers saw: when another writer wrote an odd entry over the good one of an endpoint, instances that had read the good one went on sending calls to the endpoint, and those that started later did not know it. Each write of the odd entry was logged again.

The platform's page says that such an entry names no server to use. Class of fault: state that depends on the order in which an instance read its input.

Ruled out: calls to other endpoints and later changes of the list; both were right after each entry that was rejected.

Change: EndpointController treats an entry that cannot be read like a missing one: no new call, calls in progress go on, and after an outage or a restore of the store its endpoint has the usual time to register again. A good entry is used at once. RejectionLog logs an entry once until it changes.

--- a/gateway/src/main/java/org/jasminehub/gateway/control/EndpointController.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/EndpointController.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.jasminehub.core.balance.EndpointEligibility;
 import org.jasminehub.core.balance.LeavingEndpoints;
 import org.jasminehub.core.era.DepartedEndpoint;
@@ -48,6 +49,7 @@
     private final EndpointHistory history;
     private final LeavingEndpoints leaving;
     private final Predicate<FailureDomain> isEvacuated;
+    private final RejectionLog rejections;
     private final Map<EndpointId, EndpointRecord> endpoints = new HashMap<>();
     private final Map<EndpointId, Long> expiredAtMillis = new HashMap<>();
     private Map<String, List<EndpointRecord>> servingByService = Map.of();
@@ -70,6 +72,7 @@
             Predicate<FailureDomain> isEvacuated) {
         this.isEvacuated = isEvacuated;
         this.events = events;
+        this.rejections = new RejectionLog(events);
         this.eras = eras;
         this.history = new EndpointHistory(eras, clock);
         this.leaving = new LeavingEndpoints(clock);
@@ -217,10 +220,10 @@
     }
 
     private void applySnapshot(List<KeyedRecord> records) {
+        rejections.retain(records.stream().map(KeyedRecord::key).collect(Collectors.toSet()));
         Set<EndpointId> listed = new HashSet<>();
         for (KeyedRecord record : records) {
-            onRecord(record);
-            if (record.value() != null && !record.key().isBlank()) {
+            if (onRecord(record)) {
                 listed.add(new EndpointId(record.key()));
             }
         }
@@ -232,45 +235,55 @@
         publish();
     }
 
-    private void onRecord(KeyedRecord record) {
+    /**
+     * Applies a record and returns whether it names an endpoint. One that cannot be read, as another writer may write
+     * over a good one, counts like a missing one, so that instances agree whether or not they read the good one.
+     */
+    private boolean onRecord(KeyedRecord record) {
         if (record.key().isBlank()) {
-            events.emit(new ControlEvent(ControlEventKind.RECORD_REJECTED, "endpoint", "record has no key", 0));
-            return;
+            rejections.onRejected("endpoint", "record has no key");
+            return false;
         }
-        EndpointId id = new EndpointId(record.key());
         byte[] value = record.value();
         if (value == null) {
-            onMissing(id);
-            return;
+            rejections.onResolved(record.key());
+            onMissing(new EndpointId(record.key()));
+            return false;
         }
         try {
-            EndpointRegistration registration = EndpointRecordAdapter.decode(record.key(), value);
-            EndpointRecord decoded = registration.endpoint();
-            if (history.isOutdated(registration)) {
-                events.emit(new ControlEvent(
-                        ControlEventKind.RECORD_OUTDATED,
-                        record.key(),
-                        "registration " + registration.sequence() + " of the run started at "
-                                + decoded.startedWallMillis() + " is older than the known one",
-                        0));
-                return;
-            }
-            history.onAccepted(registration);
-            onRegistration.accept(registration);
-            expiredAtMillis.remove(id);
-            EndpointRecord previous = endpoints.put(id, decoded);
-            if (previous != null && !previous.isSameIncarnation(decoded)) {
-                onUnavailable.accept(previous);
-            }
-            if (!decoded.equals(previous)) {
-                emitChange(decoded);
-            }
-            if (decoded.isDraining() && (previous == null || !previous.isDraining())) {
-                onUnavailable.accept(decoded);
-            }
+            onRegistration(EndpointRecordAdapter.decode(record.key(), value));
+            rejections.onResolved(record.key());
+            return true;
         } catch (RecordRejectedException e) {
+            rejections.onRejected(record.key(), String.valueOf(e.getMessage()));
+            onMissing(new EndpointId(record.key()));
+            return false;
+        }
+    }
+
+    private void onRegistration(EndpointRegistration registration) {
+        EndpointRecord decoded = registration.endpoint();
+        if (history.isOutdated(registration)) {
             events.emit(new ControlEvent(
-                    ControlEventKind.RECORD_REJECTED, record.key(), String.valueOf(e.getMessage()), 0));
+                    ControlEventKind.RECORD_OUTDATED,
+                    decoded.id().value(),
+                    "registration " + registration.sequence() + " of the run started at " + decoded.startedWallMillis()
+                            + " is older than the known one",
+                    0));
+            return;
+        }
+        history.onAccepted(registration);
+        onRegistration.accept(registration);
+        expiredAtMillis.remove(decoded.id());
+        EndpointRecord previous = endpoints.put(decoded.id(), decoded);
+        if (previous != null && !previous.isSameIncarnation(decoded)) {
+            onUnavailable.accept(previous);
+        }
+        if (!decoded.equals(previous)) {
+            emitChange(decoded);
+        }
+        if (decoded.isDraining() && (previous == null || !previous.isDraining())) {
+            onUnavailable.accept(decoded);
         }
     }
 
