A response without the call's id is not believed on a reused connection

What callers saw: 503 with Retry-After, that is "not run, try again", for a safe call or a resumable stream that an endpoint had run or was running; or the response to another call. As such an attempt did not count as a run, the call could also run at more endpoints than its route allows.

Cause: a response without a request id was credited to the request in flight, also on a pooled connection. A faulty endpoint that writes an earlier refusal once more, without its id, thus refused the next call. A refusal of the same call had the right id: the third attempt of a call could use the connection on which the first one had been refused. A call without an id could not recognize any response. Class of fault: a response is assigned to a request by its position, although the peer may add responses.

A response now belongs to a call if it carries the call's id, or if it carries none and its request was the first one on its connection. After any other response it is open whether the call ran, and the connection is closed. Retries and calls without an id use new connections.

Ruled out: unsafe calls and streams that cannot be resumed use new connections; a refusal with another id was and is not believed there. A repeated refusal in the packet of the genuine one, or on an idle connection, closes the connection before another request is written (both tested). A request that was not written because its pooled connection had just been closed has not run.

--- a/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
@@ -80,13 +80,24 @@
         if (request.body().length > 0 || HttpMethod.POST.equals(request.method())) {
             HttpUtil.setContentLength(message, request.body().length);
         }
-        // An unsafe call uses a new connection: if a pooled one had just been closed, it would be unknown whether the
-        // call ran.
-        ConnectionUse connectionUse = call.route().mayRetry() ? ConnectionUse.KEPT_OR_NEW : ConnectionUse.NEW;
-        exchange = call.dispatcher().send(endpoint, message, connectionUse, this);
+        exchange = call.dispatcher().send(endpoint, message, connectionUse(), this);
         startTimeout();
     }
 
+    /**
+     * Selects the connection. An unsafe call uses a new one: if a pooled one had just been closed, it would be unknown
+     * whether the call ran. A retry does so because the response to an earlier attempt, which has the same id, could
+     * arrive once more on a pooled one. On a pooled one, no response to a call without an id could be recognized.
+     */
+    private ConnectionUse connectionUse() {
+        boolean isFirstAttempt = call.attempts().sends() == 1;
+        return call.route().mayRetry()
+                        && isFirstAttempt
+                        && !call.context().requestId().isEmpty()
+                ? ConnectionUse.KEPT_OR_NEW
+                : ConnectionUse.NEW;
+    }
+
     private EndpointAddress address() {
         return new EndpointAddress(endpoint.host(), endpoint.port());
     }
@@ -208,9 +219,7 @@
         if (parsedHeaders.keepAliveMillis() != null) {
             call.dispatcher().client().setIdleLimit(address(), parsedHeaders.keepAliveMillis());
         }
-        String requestId = call.context().requestId();
-        boolean isForOtherRequest =
-                parsedHeaders.requestId() != null && !parsedHeaders.requestId().equals(requestId);
+        boolean isForOtherRequest = !belongsToCall(parsedHeaders.requestId());
         boolean isSuccess = status.codeClass() == HttpStatusClass.SUCCESS;
         if (isForOtherRequest
                 || (isSuccess && !parsedHeaders.isSigned())
@@ -227,6 +236,16 @@
         relay.begin(status, headers, parsedHeaders);
     }
 
+    /**
+     * Returns whether a response with the request id {@code stated} is certainly the one to this attempt. A faulty endpoint
+     * may write the response to an earlier request once more, also without its id.
+     */
+    private boolean belongsToCall(@Nullable String stated) {
+        return stated == null
+                ? exchange != null && exchange.isFirstOnConnection()
+                : stated.equals(call.context().requestId());
+    }
+
     @Override
     public void onBody(byte[] part) {
         if (relay != null && !isEnded) {
--- a/gateway/src/main/java/org/jasminehub/gateway/net/EndpointConnection.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/EndpointConnection.java
@@ -29,6 +29,7 @@
     private @Nullable Channel channel;
     private @Nullable ResponseSink sink;
     private ExchangeMonitor monitor = ExchangeMonitor.NONE;
+    private long exchanges;
     private boolean isRequestWritten;
     private boolean isHeadSeen;
     private boolean isReusable;
@@ -52,6 +53,11 @@
         return open != null && open.isActive();
     }
 
+    /** Returns whether no request was sent on the connection before the current one. */
+    boolean isFirstExchange() {
+        return exchanges == 1;
+    }
+
     /** Records when the connection became idle and how long it may stay idle. */
     void markIdle(long nowMillis, long limitMillis) {
         idleSinceMillis = nowMillis;
@@ -71,6 +77,7 @@
         Channel open = channel;
         sink = responseSink;
         monitor = exchangeMonitor;
+        exchanges++;
         isRequestWritten = false;
         isHeadSeen = false;
         isReusable = false;
--- a/gateway/src/main/java/org/jasminehub/gateway/net/PendingExchange.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/PendingExchange.java
@@ -51,6 +51,11 @@
         }
     }
 
+    @Override
+    public boolean isFirstOnConnection() {
+        return connection != null && connection.isFirstExchange();
+    }
+
     @Override
     public void setReading(boolean isReading) {
         if (connection != null && !isDone) {
