A response without the id of its request does not end a rate limit

What an endpoint saw: it could get more requests than the limit that it had stated (LIMIT); callers saw nothing.

Cause: a response without a limit ends one if its request was sent after the limit was stated. A faulty endpoint may write a response from before the limit once more; it was dated by the request in flight. Class of fault: a response is assigned to a request by its position, although the peer may add responses.

Only a response that carries the id of its request is dated by it; any other one ends no limit.

Ruled out: a repeated statement of a limit, a quiet period or an announced shutdown restricts what is sent and can only be too careful; these still count from any response of the endpoint.

Before: both tests of RepeatedRefusalTest.Statements fail ("expected: <1> but was: <3>": the limit was stated, ended by the repeated refusal and stated again). After: they pass, and so do ExceededRateLimitTest and EvacuationControllerTest, whose calls of forCall got the new parameter.

--- a/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
@@ -80,7 +80,7 @@
         if (request.body().length > 0 || HttpMethod.POST.equals(request.method())) {
             HttpUtil.setContentLength(message, request.body().length);
         }
-        exchange = call.dispatcher().send(endpoint, message, connectionUse(), this);
+        exchange = call.dispatcher().send(endpoint, message, call.context().requestId(), connectionUse(), this);
         startTimeout();
     }
 
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallDispatcher.java
@@ -226,9 +226,10 @@
         return availability.refusal(service);
     }
 
-    Exchange send(EndpointRecord endpoint, FullHttpRequest request, ConnectionUse use, ResponseSink sink) {
+    Exchange send(
+            EndpointRecord endpoint, FullHttpRequest request, String requestId, ConnectionUse use, ResponseSink sink) {
         EndpointAddress address = new EndpointAddress(endpoint.host(), endpoint.port());
-        return client.send(address, request, use, sink, cold.guard(endpoint, monitors.forCall(endpoint)));
+        return client.send(address, request, use, sink, cold.guard(endpoint, monitors.forCall(endpoint, requestId)));
     }
 
     /** Returns whether the call is likely to get capacity within {@code maxWaitMillis}. */
--- a/gateway/src/main/java/org/jasminehub/gateway/control/EndpointMonitors.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/EndpointMonitors.java
@@ -64,8 +64,12 @@
         return withheld;
     }
 
-    /** Returns the monitor of a caller's request that is sent to {@code endpoint} now. */
-    public ExchangeMonitor forCall(EndpointRecord endpoint) {
+    /**
+     * Returns the monitor of a caller's request that is sent to {@code endpoint} now.
+     *
+     * @param requestId the id of the request, empty if it has none
+     */
+    public ExchangeMonitor forCall(EndpointRecord endpoint, String requestId) {
         long sentMillis = clock.monotonicMillis();
         return new ExchangeMonitor() {
             @Override
@@ -80,7 +84,7 @@
 
             @Override
             public void onHead(HttpResponseStatus status, HttpHeaders headers) {
-                observe(endpoint.incarnation(), sentMillis, status, headers);
+                observe(endpoint.incarnation(), sentMillis, requestId, status, headers);
             }
         };
     }
@@ -99,7 +103,7 @@
             @Override
             public void onHead(HttpResponseStatus status, HttpHeaders headers) {
                 // The monitor is used for many requests, so it is not known when the one of this response was sent.
-                observe(endpoint.incarnation(), Long.MIN_VALUE, status, headers);
+                observe(endpoint.incarnation(), Long.MIN_VALUE, "", status, headers);
             }
         };
     }
@@ -110,12 +114,19 @@
     }
 
     private void observe(
-            EndpointIncarnation expected, long sentMillis, HttpResponseStatus status, HttpHeaders headers) {
+            EndpointIncarnation expected,
+            long sentMillis,
+            String requestId,
+            HttpResponseStatus status,
+            HttpHeaders headers) {
         if (status.codeClass() == HttpStatusClass.INFORMATIONAL) {
             return;
         }
         ResponseHeaders parsed = ResponseHeadersAdapter.decode(status, headers);
-        respondent(expected, status, parsed).ifPresent(endpoint -> onRateLimit(endpoint, sentMillis, parsed));
+        // A response to an earlier request may arrive once more, so only the id proves when its request was sent.
+        long provenSentMillis =
+                !requestId.isEmpty() && requestId.equals(parsed.requestId()) ? sentMillis : Long.MIN_VALUE;
+        respondent(expected, status, parsed).ifPresent(endpoint -> onRateLimit(endpoint, provenSentMillis, parsed));
         ColdTime coldTime = parsed.coldTime();
         if (coldTime.kind() != ColdTime.Kind.NOT_STATED) {
             respondent(expected, status, parsed).ifPresent(endpoint -> onColdTime.accept(endpoint, coldTime));
--- a/gateway/src/test/java/org/jasminehub/gateway/RepeatedRefusalTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/RepeatedRefusalTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.jasminehub.gateway.call.AttemptFailed;
+import org.jasminehub.gateway.control.ControlEventKind;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -166,6 +167,41 @@
         }
     }
 
+    /** What a repeated response states about its endpoint. */
+    @Nested
+    final class Statements {
+        private static final String LIMIT = "Server-Limit: 100\r\n";
+
+        private String limited(String response) {
+            return response.replaceFirst("\r\n", "\r\n" + LIMIT);
+        }
+
+        private void assertLimitKept(String staleId) throws Exception {
+            serveWithOneEndpoint();
+            keepAConnection();
+            script.add(writing(limited(success("r-1", "one"))));
+            assertTrue(gateway.exchange(safe("r-1")).endsWith("one"));
+            GatewayHarness.await(() -> gateway.gauge("endpoints.limited") == 1);
+
+            script.add(writing(refusal(503, staleId)));
+            script.add(writing(limited(success("r-2", "two"))));
+            assertTrue(gateway.exchange(safe("r-2")).endsWith("two"));
+
+            // One event for the statement of the limit, none for its end.
+            assertEquals(1, gateway.countEvents(ControlEventKind.ENDPOINT_LIMITED));
+        }
+
+        @Test
+        void testARefusalFromBeforeALimitDoesNotEndTheLimit() throws Exception {
+            assertLimitKept("r-0");
+        }
+
+        @Test
+        void testARefusalWithoutAnIdFromBeforeALimitDoesNotEndTheLimit() throws Exception {
+            assertLimitKept(WITHOUT_ID);
+        }
+    }
+
     /** A repeated refusal before the next request is written. */
     @Nested
     final class Idle {
--- a/gateway/src/test/java/org/jasminehub/gateway/control/EvacuationControllerTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/control/EvacuationControllerTest.java
@@ -139,8 +139,8 @@
         /** Guards against a request that is written after the evacuation because its endpoint was chosen before. */
         @Test
         void testARequestThatIsNotWrittenYetIsWithheld() {
-            ExchangeMonitor first = monitors.forCall(endpoint("e-a"));
-            ExchangeMonitor second = monitors.forCall(endpoint("e-b"));
+            ExchangeMonitor first = monitors.forCall(endpoint("e-a"), "r-1");
+            ExchangeMonitor second = monitors.forCall(endpoint("e-b"), "r-1");
             assertTrue(first.maySend());
 
             read(0, "evacuate/a", true);
@@ -190,7 +190,7 @@
 
         @Test
         void testTheLastRequestBeforeTheEvacuationIsDated() {
-            monitors.forCall(endpoint("e-a")).maySend();
+            monitors.forCall(endpoint("e-a"), "r-1").maySend();
             clock.advanceMillis(70);
 
             read(0, "evacuate/a", true);
