The reply to an order to an engine is read from a new connection

What could be seen: a coordinator was told that an engine had accepted an order which the engine had refused. After a hold, which is confirmed without a report, it would arm all ranks although no step is held.

Cause: reports and orders share pooled connections, and their responses carry no id. A faulty engine that writes an earlier response once more thus replied to the next order. Class of fault: a response is assigned to a request by its position, although the peer may add responses.

Orders now use new connections, on which no earlier response can arrive. They are rare compared to reports.

Before: RankAgentRepeatedResponseTest fails (expected: <409> but was: <200>). After: it passes, as do ExpertPlacementTest and GroupPlacementTest.

--- a/gateway/src/main/java/org/jasminehub/gateway/experts/RankAgent.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/experts/RankAgent.java
@@ -233,7 +233,10 @@
             preparingVersion = order.version();
         }
         EngineCall call = EngineAdapter.order(order, request.getEpoch(), RankMessageConverter.mapOf(request));
-        engine.call(call.method(), call.uri(), EngineCall.CONTENT_TYPE, call.body(), ORDER_TIMEOUT_MILLIS)
+        // On a pooled connection, an earlier response that is written once more could be taken for the reply to the
+        // order.
+        engine.callOnNewConnection(
+                        call.method(), call.uri(), EngineCall.CONTENT_TYPE, call.body(), ORDER_TIMEOUT_MILLIS)
                 .handle((response, failure) -> failure == null ? response.status() : 0)
                 .thenAccept(code -> {
                     if (order.kind() == RankOrder.Kind.HOLD) {
--- a/gateway/src/main/java/org/jasminehub/gateway/net/BufferedHttpClient.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/BufferedHttpClient.java
@@ -44,13 +44,35 @@
     public record Response(int status, HttpHeaders headers, byte[] body) {}
 
     /**
-     * Makes a call.
+     * Makes a call over a pooled connection, if there is one. If a faulty peer writes the response to an earlier call once
+     * more, it may be taken for the response to this one.
      *
      * @return the response; completes exceptionally with a {@link PlatformException} if none arrives within {@code
      *     timeoutMillis}, in which case the call may still have taken effect
      */
     public CompletableFuture<Response> call(
             String method, String uri, String contentType, byte[] body, long timeoutMillis) {
+        return call(method, uri, contentType, body, timeoutMillis, ConnectionUse.KEPT_OR_NEW);
+    }
+
+    /**
+     * Makes a call over a new connection, so that the response is certainly the one to this call.
+     *
+     * @return the response; completes exceptionally with a {@link PlatformException} if none arrives within {@code
+     *     timeoutMillis}, in which case the call may still have taken effect
+     */
+    public CompletableFuture<Response> callOnNewConnection(
+            String method, String uri, String contentType, byte[] body, long timeoutMillis) {
+        return call(method, uri, contentType, body, timeoutMillis, ConnectionUse.NEW);
+    }
+
+    private CompletableFuture<Response> call(
+            String method,
+            String uri,
+            String contentType,
+            byte[] body,
+            long timeoutMillis,
+            ConnectionUse connectionUse) {
         FullHttpRequest request = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), uri, Unpooled.wrappedBuffer(body));
         request.headers().set(HttpHeaderNames.HOST, address.toString());
@@ -59,8 +81,7 @@
             HttpUtil.setContentLength(request, body.length);
         }
         CompletableFuture<Response> result = new CompletableFuture<>();
-        Exchange exchange =
-                client.send(address, request, ConnectionUse.KEPT_OR_NEW, new ResponseCollector(result), monitor);
+        Exchange exchange = client.send(address, request, connectionUse, new ResponseCollector(result), monitor);
         result.whenComplete((response, failure) -> {
             if (failure != null) {
                 exchange.cancel();
