An agent awaits the operations that still run before it stops

What callers saw: an operation (a call that must not run twice) whose caller or entry instance had gone while it ran was forgotten when its agent was stopped. The service ran it, but a retry could only be told that the outcome is unknown.

Cause: the drain waits for the calls that are open. A run goes on when its call has ended by the loss of a connection, and nothing counted it. Class of fault: work that was handed on counts as done, and the process ends.

The drain now waits, within its limit, for the runs as well; the reply to a leave request counts them too.

Ruled out: a run whose caller is still connected; its call is counted until the result has been sent.

Before: AgentDrainTest.testAnOperationThatStillRunsIsAwaitedAlthoughItsCallerIsGone failed with "the process would end before the operation". After: it passes; OrderFilterTest is green.

--- a/agent/src/main/java/org/jasminehub/agent/Agent.java
+++ b/agent/src/main/java/org/jasminehub/agent/Agent.java
@@ -62,6 +62,7 @@
     private final DocumentVersionFilter versionFilter = new DocumentVersionFilter();
     private final RunningCalls runningCalls = new RunningCalls();
     private final OperationGuard operations;
+    private final OperationFilter operationFilter;
     private final WireServer server;
     private final Cancellable loadTimer;
     private final Cancellable admissionTimer;
@@ -82,8 +83,7 @@
         EndpointClient client = new EndpointClient(system, settings.endpoint());
         EndpointRelay relay = new EndpointRelay(system, client, isModel, events);
         this.operations = OperationGuard.create(hello(), settings.target().name(), clock, events);
-        OperationFilter operationFilter =
-                new OperationFilter(system, client, operations, EndpointRelay::isConnectFailure);
+        this.operationFilter = new OperationFilter(system, client, operations, EndpointRelay::isConnectFailure);
         AdmissionFilter admission = new AdmissionFilter(clock, AdmissionSettings.defaults(), events);
         CallHandler handler = CallFilter.chain(
                 List.of(
@@ -134,8 +134,8 @@
     }
 
     /**
-     * Starts a graceful shutdown: stops accepting new calls and lets running calls finish within a time limit. The
-     * returned stage completes when the process may exit.
+     * Starts a graceful shutdown: stops accepting new calls and lets running calls and operations finish within a time
+     * limit. The returned stage completes when the process may exit.
      */
     public CompletionStage<Void> drain() {
         leave();
@@ -159,9 +159,14 @@
         server.close();
     }
 
+    /** An operation whose caller is gone is still open, because its result would be lost with the process. */
+    private int openRequests() {
+        return Math.max(runningCalls.count(), operationFilter.runningOperations());
+    }
+
     private void completeIfDrained(long startMillis, CompletableFuture<Void> stopped) {
         long elapsedMillis = clock.monotonicMillis() - startMillis;
-        if (DRAIN_POLICY.phase(elapsedMillis, runningCalls.count(), true) == DrainPhase.STOPPED) {
+        if (DRAIN_POLICY.phase(elapsedMillis, openRequests(), true) == DrainPhase.STOPPED) {
             stopped.complete(null);
         }
     }
@@ -195,7 +200,7 @@
 
     private ControlReply.Builder leaveAndReport() {
         leave();
-        return ControlReply.newBuilder().setLeave(LeaveReply.newBuilder().setRemainingRequests(runningCalls.count()));
+        return ControlReply.newBuilder().setLeave(LeaveReply.newBuilder().setRemainingRequests(openRequests()));
     }
 
     private static CompletionStage<ControlReply.Builder> completed(ControlReply.Builder reply) {
--- a/agent/src/main/java/org/jasminehub/agent/operation/OperationFilter.java
+++ b/agent/src/main/java/org/jasminehub/agent/operation/OperationFilter.java
@@ -56,6 +56,11 @@
         this.isUnsent = isUnsent;
     }
 
+    /** Returns the number of operations that are running, whether or not a call still waits for their results. */
+    public synchronized int runningOperations() {
+        return waiting.size();
+    }
+
     @Override
     public void handle(AgentCall call, CallHandler next) {
         Optional<OperationTicket> ticket = ticketOf(call.start());
