A stopping server of peer connections writes the responses that have ended

What callers saw: a response that an agent had sent completely was lost at the agent's stop if the entry instance read it slowly; the entry instance reported a lost connection after the call was sent, so an unsafe call could not be repeated.

Cause: a call counts as ended once its last message has been handed to the connection, and the stop then closed the connection with the bytes that were still queued. Class of fault: work that was handed to an asynchronous component counts as done, and the process ends.

Closing a server now waits up to 2 s until the messages already sent are written, and then closes.

Ruled out: the order of messages and close; both are tasks of the connection's event loop.

--- a/wire/src/main/java/org/jasminehub/wire/ServerConnection.java
+++ b/wire/src/main/java/org/jasminehub/wire/ServerConnection.java
@@ -1,9 +1,13 @@
 package org.jasminehub.wire;
 
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
@@ -27,6 +31,7 @@
     private final Map<Long, ServerCall> calls = new ConcurrentHashMap<>();
 
     private volatile @Nullable ChannelHandlerContext context;
+    private volatile @Nullable ChannelHandlerContext firstContext;
     private boolean helloReceived;
 
     ServerConnection(
@@ -56,6 +61,17 @@
         }
     }
 
+    /**
+     * Closes the connection, which must have sent its hello, once the messages already sent are written. The returned
+     * future completes with the close.
+     */
+    ChannelFuture closeWhenWritten() {
+        ChannelHandlerContext first = Objects.requireNonNull(firstContext, "no hello was sent");
+        // Written behind the codec, because it is not a message.
+        first.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        return first.channel().closeFuture();
+    }
+
     void removeCall(long callId) {
         calls.remove(callId);
     }
@@ -101,6 +117,7 @@
         }
         helloReceived = true;
         context = ctx;
+        firstContext = ctx.pipeline().firstContext();
         openConnections.add(this);
     }
 
--- a/wire/src/main/java/org/jasminehub/wire/WireServer.java
+++ b/wire/src/main/java/org/jasminehub/wire/WireServer.java
@@ -7,8 +7,10 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.wire.generated.EndpointLoad;
@@ -26,6 +28,9 @@
  * <p>Thread-safe.
  */
 public final class WireServer implements AutoCloseable {
+    /** Time in which the messages already sent are written; a peer that does not read must not delay a stop for long. */
+    private static final long WRITE_TIMEOUT_MILLIS = 2_000;
+
     private final Supplier<Hello> hello;
     private final Set<ServerConnection> connections;
     private final Channel channel;
@@ -89,9 +94,17 @@
         connections.forEach(connection -> connection.send(message));
     }
 
+    /** Stops listening and closes all connections once the messages already sent on them are written. */
     @Override
     public void close() {
         channel.close().awaitUninterruptibly();
+        long startNanos = System.nanoTime();
+        List<ChannelFuture> closing =
+                connections.stream().map(ServerConnection::closeWhenWritten).toList();
+        for (ChannelFuture connection : closing) {
+            long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+            connection.awaitUninterruptibly(Math.max(0, WRITE_TIMEOUT_MILLIS - elapsedMillis));
+        }
         connections.forEach(ServerConnection::close);
     }
 }
--- a/wire/src/test/java/org/jasminehub/wire/WireServerTest.java
+++ b/wire/src/test/java/org/jasminehub/wire/WireServerTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import org.jasminehub.core.event.Event;
 import org.jasminehub.wire.generated.AnswerChunk;
@@ -36,6 +37,11 @@
     private static final Hello HELLO =
             Hello.newBuilder().setProtocolVersion(WireProtocol.VERSION).build();
 
+    /** With {@link #LARGE_CHUNKS}, more than the buffers of both ends of a connection hold. */
+    private static final int LARGE_CHUNK_BYTES = 1 << 19;
+
+    private static final int LARGE_CHUNKS = 64;
+
     private final BlockingQueue<IncomingCall> arrived = new LinkedBlockingQueue<>();
     private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
     private final ControlRouter router = new ControlRouter();
@@ -70,7 +76,7 @@
     }
 
     /** Records a response as text lines. */
-    private static final class RecordingResponse implements ResponseListener {
+    private static class RecordingResponse implements ResponseListener {
         private final BlockingQueue<String> lines = new LinkedBlockingQueue<>();
 
         @Override
@@ -169,6 +175,55 @@
             assertEquals("cancel", callListener.lines.take());
         }
 
+        /** Guards against responses that count as sent and are lost when the process stops before they are written. */
+        @Test
+        void testAServerThatStopsWritesTheResponsesThatHaveEnded() throws Exception {
+            CountDownLatch mayRead = new CountDownLatch(1);
+            RecordingResponse response = new RecordingResponse() {
+                @Override
+                public void onChunk(AnswerChunk chunk) {
+                    awaitQuietly(mayRead);
+                }
+            };
+            try (WireGroup slowGroup = new WireGroup(1)) {
+                new WireClient(slowGroup, HOST, server.port(), () -> HELLO, new IgnoringPeer())
+                        .call(CallStart.newBuilder(), response);
+                IncomingCall call = arrived.take();
+                call.head(200, List.of());
+                for (int chunk = 0; chunk < LARGE_CHUNKS; chunk++) {
+                    call.chunk(ByteString.copyFrom(new byte[LARGE_CHUNK_BYTES]));
+                }
+                call.end();
+                int port = server.port();
+                CompletableFuture<Void> stop = CompletableFuture.runAsync(server::close);
+                awaitRefused(port);
+                mayRead.countDown();
+
+                assertEquals("head 200", response.lines.take());
+                assertEquals("end " + LARGE_CHUNKS, response.lines.take());
+                stop.join();
+            }
+        }
+
+        /** Waits until the server has begun to stop. */
+        private void awaitRefused(int port) {
+            while (true) {
+                try (Socket socket = new Socket(HOST, port)) {
+                    Thread.onSpinWait();
+                } catch (IOException e) {
+                    return;
+                }
+            }
+        }
+
+        private void awaitQuietly(CountDownLatch latch) {
+            try {
+                latch.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+
         @Test
         void testConnectionLossReportsWhetherCallWasSent() throws InterruptedException {
             RecordingResponse sent = new RecordingResponse();
