A request whose processing throws gets a response and a log line

Cause: the connection treated each exception like a reset by the caller and closed without a word. Class of fault: a failure that is swallowed.

The request now gets 500 on a connection that then closes, unless its response has begun, and a line CALL_REFUSED with the exception. Other exceptions on a caller's connection, except resets, are logged too.

Before: CallerServerTest.testARequestWhoseHandlerThrowsGetsAResponseAndIsReported failed with an empty response, testAHandlerThatThrowsAfterItsResponseWritesNoSecondOne without a report. After: both pass; CallersTest and StopSequenceTest are green.

--- a/gateway/src/main/java/org/jasminehub/gateway/MalformedRequestLog.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/MalformedRequestLog.java
@@ -1,21 +1,23 @@
 package org.jasminehub.gateway;
 
+import org.jasminehub.core.error.ErrorCode;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.serving.RouteTable;
 import org.jasminehub.gateway.call.CallEnded;
 import org.jasminehub.gateway.call.CallEventKind;
 import org.jasminehub.gateway.control.ConfigurationController;
 
-/** Logs requests that could not be decoded and therefore did not become calls. */
+/** Logs requests that did not become calls, because they could not be decoded or their processing failed. */
 record MalformedRequestLog(EventSink events, ConfigurationController configuration) {
     void onMalformed(int status, String reason) {
+        boolean isOwnFailure = status == ErrorCode.INTERNAL.httpStatus();
         events.emit(new CallEnded(
-                CallEventKind.REQUEST_MALFORMED,
+                isOwnFailure ? CallEventKind.CALL_REFUSED : CallEventKind.REQUEST_MALFORMED,
                 "",
                 "",
                 "",
                 status,
-                "request-malformed",
+                (isOwnFailure ? ErrorCode.INTERNAL : ErrorCode.REQUEST_MALFORMED).code(),
                 reason,
                 "",
                 0,
--- a/gateway/src/main/java/org/jasminehub/gateway/net/CallerConnection.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/CallerConnection.java
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -21,6 +22,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -40,6 +42,8 @@
     /** Time for a caller to read the rest of the last response and to close the connection. */
     private static final long LINGER_MILLIS = 1_000;
 
+    private static final byte[] FAILED_BODY = "internal error\n".getBytes(StandardCharsets.UTF_8);
+
     private final CallerServer server;
     private final CallerLimits limits;
     private final Deque<HttpObject> pendingParts = new ArrayDeque<>();
@@ -146,9 +150,13 @@
         int port = host.lastIndexOf(':');
         CallerRequest callerRequest = new CallerRequest(
                 request.method(), request.uri(), port < 0 ? host : host.substring(0, port), request.headers(), bytes);
-        CallerExchange started = server.handler().handle(callerRequest, response);
-        if (writer == response) {
-            exchange = started;
+        try {
+            CallerExchange started = server.handler().handle(callerRequest, response);
+            if (writer == response) {
+                exchange = started;
+            }
+        } catch (RuntimeException e) {
+            response.fail(e);
         }
     }
 
@@ -234,6 +242,10 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        // A reset is the end of the caller, which the handler is told; anything else is a fault of this process.
+        if (!(cause instanceof IOException)) {
+            server.onMalformed(HttpResponseStatus.INTERNAL_SERVER_ERROR.code(), "connection failed: " + cause);
+        }
         context.close();
     }
 
@@ -257,6 +269,7 @@
     private final class ResponseWriter implements CallerResponse {
         private final ChannelHandlerContext context;
         private boolean closes;
+        private boolean isBegun;
 
         ResponseWriter(ChannelHandlerContext context, boolean closes) {
             this.context = context;
@@ -274,6 +287,16 @@
             finish(response);
         }
 
+        /** Reports that the handler threw, and responds unless it has begun a response. */
+        void fail(RuntimeException cause) {
+            server.onMalformed(HttpResponseStatus.INTERNAL_SERVER_ERROR.code(), "processing failed: " + cause);
+            if (!isBegun) {
+                // The handler may still use this response, so no other one may follow on the connection.
+                closes = true;
+                complete(HttpResponseStatus.INTERNAL_SERVER_ERROR, new DefaultHttpHeaders(), FAILED_BODY);
+            }
+        }
+
         @Override
         public void begin(HttpResponseStatus status, HttpHeaders headers, long bodyLength) {
             markClose(headers);
@@ -292,6 +315,7 @@
 
         /** Only the head can announce the close; without the announcement the caller may have sent its next request. */
         private void markClose(HttpHeaders headers) {
+            isBegun = true;
             // A request that has been read behind this one gets its response before the connection closes.
             closes |= server.isStopping() && pendingParts.isEmpty();
             if (closes) {
