A caller that is still sending gets the refusal of its request

What callers saw: a caller whose body was too large got a reset in place of the 413; the same held for 400 and 431 while more bytes of the caller were under way.

Cause: the connection was closed as soon as the refusal was written. Closing a connection with unread bytes resets it, and the reset overtakes the response. Class of fault: a response counts as delivered once it is written.

The refusal now ends like any last response: the output is closed, and the rest of the caller's bytes is read and discarded for at most a second.

Before: CallerServerTest.testACallerThatSendsItsWholeBodyBeforeItReadsGetsTheRefusal failed with java.net.SocketException: Broken pipe. After: it passes, and so does CallersTest.

--- a/gateway/src/main/java/org/jasminehub/gateway/net/CallerConnection.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/CallerConnection.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
@@ -168,7 +167,7 @@
                 HttpVersion.HTTP_1_1, status, Unpooled.copiedBuffer(reason + "\n", StandardCharsets.UTF_8));
         HttpUtil.setContentLength(response, response.content().readableBytes());
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        context.writeAndFlush(response).addListener(written -> closeAfterCaller(context));
     }
 
     private void onResponseSent(ChannelHandlerContext context, boolean closes) {
--- a/gateway/src/test/java/org/jasminehub/gateway/net/CallerServerTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/net/CallerServerTest.java
@@ -10,8 +10,10 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
@@ -28,6 +30,9 @@
     private static final int TIMEOUT_MILLIS = 20_000;
     private static final PlatformException FAILURE = new PlatformException("handler", "cause", null);
 
+    /** More than the buffers of both ends of a connection hold. */
+    private static final int LARGE_BODY_BYTES = 32 << 20;
+
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(
                     1, new DefaultThreadFactory("callers", true), NioIoHandler.newFactory())
             .next();
@@ -91,4 +96,25 @@
             assertEquals(List.of("500 processing failed: " + FAILURE), List.copyOf(reports));
         }
     }
+
+    /** Guards against a reset that overtakes the refusal while the caller still sends its body. */
+    @Test
+    void testACallerThatSendsItsWholeBodyBeforeItReadsGetsTheRefusal() throws Exception {
+        try (Socket caller = connect((request, response) -> CallerExchange.COMPLETED)) {
+            write(caller, "POST / HTTP/1.1\r\nHost: h.example\r\nContent-Length: " + LARGE_BODY_BYTES + "\r\n\r\n");
+            byte[] part = new byte[1 << 16];
+            String answer;
+            try {
+                OutputStream body = caller.getOutputStream();
+                for (int sent = 0; sent < LARGE_BODY_BYTES; sent += part.length) {
+                    body.write(part);
+                }
+                answer = read(caller);
+            } catch (SocketException e) {
+                answer = e.toString();
+            }
+
+            assertTrue(answer.startsWith("HTTP/1.1 413 "), answer);
+        }
+    }
 }
