An event that cannot be written does not end the log

Cause: the writer's thread ended with the exception. Class of fault: one failure ends a loop for good.

Such an event now counts as dropped and is reported by LINES_DROPPED, also in the last write.

Before: AsyncEventSinkTest.testTheOtherEventsAreWrittenAndTheFailedOneIsCounted failed, nothing was written. After: it passes with the other tests of the class.

--- a/gateway/src/main/java/org/jasminehub/gateway/telemetry/AsyncEventSink.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/telemetry/AsyncEventSink.java
@@ -61,7 +61,7 @@
     public synchronized void emit(Event event) {
         boolean isFailure = event.kind().severity().compareTo(Severity.WARNING) >= 0;
         if (queue.size() >= (isFailure ? capacity : capacity * NORMAL_CAPACITY_SHARE)) {
-            dropped.merge(event.kind().name(), 1L, Long::sum);
+            countDropped(event);
             return;
         }
         queue.add(new TimestampedEvent(event, clock.wallMillis()));
@@ -104,8 +104,22 @@
             if (!isLast) {
                 LockSupport.parkNanos(WRITE_INTERVAL_NANOS);
             }
-            drain().forEach(queued -> delegate.emitAt(queued.event(), queued.wallMillis()));
+            drain().forEach(this::write);
         }
+        drain().forEach(this::write);
+    }
+
+    /** Writes one event; an event that cannot be written counts as dropped and does not end the writer. */
+    private void write(TimestampedEvent queued) {
+        try {
+            delegate.emitAt(queued.event(), queued.wallMillis());
+        } catch (RuntimeException e) {
+            countDropped(queued.event());
+        }
+    }
+
+    private synchronized void countDropped(Event event) {
+        dropped.merge(event.kind().name(), 1L, Long::sum);
     }
 
     /** Stops the writer after it has written the queued events, and waits a limited time for that. */
--- a/gateway/src/test/java/org/jasminehub/gateway/telemetry/AsyncEventSinkTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/telemetry/AsyncEventSinkTest.java
@@ -13,6 +13,7 @@
 import org.jasminehub.core.time.ManualClock;
 import org.jasminehub.gateway.call.CallEnded;
 import org.jasminehub.gateway.call.CallEventKind;
+import org.jasminehub.platform.PlatformException;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -72,6 +73,33 @@
         }
     }
 
+    /** The log sink fails for one event. */
+    @Nested
+    final class Failing {
+        /** Guards against a log that ends for good because one event could not be written. */
+        @Test
+        void testTheOtherEventsAreWrittenAndTheFailedOneIsCounted() {
+            List<Event> written = new ArrayList<>();
+            AsyncEventSink events = new AsyncEventSink(
+                    new ManualClock(0),
+                    (event, wallMillis) -> {
+                        if (event instanceof CallEnded ended
+                                && ended.requestId().equals("failing")) {
+                            throw new PlatformException("log", "cause", null);
+                        }
+                        written.add(event);
+                    },
+                    CAPACITY);
+            CallEnded last = call(CallEventKind.CALL_REFUSED, "last");
+
+            events.emit(call(CallEventKind.CALL_SERVED, "failing"));
+            events.emit(last);
+            events.close();
+
+            assertEquals(List.of(last, new LinesDropped("CALL_SERVED=1", 1)), written);
+        }
+    }
+
     /** Counters and histograms of the metering sink. */
     @Nested
     final class Metered {
