A drained entry instance writes its responses before it closes

What callers saw: a caller that was still reading a buffered response when an entry instance ended its drain got a reset in the middle of it.

Cause: the drain counts a buffered response as closed once it has been created, and the stop then closes the HTTP server, which cuts what is not written after 500 ms. Class of fault: a response counts as delivered once it is handed to an asynchronous component.

After a drain the server now has 5 s to write the responses that exist; it closes earlier if all are written. An immediate stop still cuts after 500 ms.

Not changed: the drain itself still counts a buffered response only until it is created, and the HTTP server resets a connection at the end of the time; a caller that needs more than 5 s is still cut.

--- a/entry/src/main/java/org/jasminehub/entry/EntryInstance.java
+++ b/entry/src/main/java/org/jasminehub/entry/EntryInstance.java
@@ -169,11 +169,15 @@
         return stopped;
     }
 
-    /** Stops immediately and aborts running requests. */
+    /** Stops immediately and aborts running requests; after a drain, responses that exist are still written. */
     @Override
     public void close() {
         control.close();
-        callerServer.close();
+        if (drain.isLeaving()) {
+            callerServer.closeWhenWritten();
+        } else {
+            callerServer.close();
+        }
         wireServer.close();
         peerRecords.close();
         directory.close();
--- a/entry/src/main/java/org/jasminehub/entry/http/CallerServer.java
+++ b/entry/src/main/java/org/jasminehub/entry/http/CallerServer.java
@@ -35,6 +35,9 @@
     private static final int BODY_TIMEOUT_MILLIS = 10_000;
     private static final Duration CLOSE_TIMEOUT = Duration.ofMillis(500);
 
+    /** Time for callers to read the responses that exist when a drain ends; they count as closed once created. */
+    private static final Duration WRITE_TIMEOUT = Duration.ofSeconds(5);
+
     private final ActorSystem<?> system;
     private final RequestReader reader;
     private final RequestMatcher matcher;
@@ -83,6 +86,11 @@
         binding.unbind();
     }
 
+    /** Closes the server once its responses are written, or after a limited time. */
+    public void closeWhenWritten() {
+        binding.terminate(WRITE_TIMEOUT).toCompletableFuture().join();
+    }
+
     @Override
     public void close() {
         binding.terminate(CLOSE_TIMEOUT).toCompletableFuture().join();
