A periodic task of an entry instance runs again after a failure

Cause: the executor keeps the exception of a periodic task in a future that nobody reads and never runs the task again. Class of fault: one failure ends a loop for good. A drain that stands still keeps the process alive until it is killed with its requests open.

The exception now goes to the thread's handler, which prints it, and the task runs again.

Before: ControlThreadTest.testAPeriodicTaskRunsAgainAfterAFailure timed out. After: it passes.

--- a/entry/src/main/java/org/jasminehub/entry/control/ControlThread.java
+++ b/entry/src/main/java/org/jasminehub/entry/control/ControlThread.java
@@ -38,15 +38,28 @@
     @Override
     public void execute(Runnable task) {
         try {
-            executor.execute(task);
+            executor.execute(() -> runReported(task));
         } catch (RejectedExecutionException e) {
             // The instance is stopping, so the task no longer matters.
         }
     }
 
-    /** Runs {@code task} at once, and then again {@code intervalMillis} after the end of each run. */
+    /**
+     * Runs {@code task} at once, and then again {@code intervalMillis} after the end of each run, also after one that
+     * failed.
+     */
     public void runPeriodically(Runnable task, long intervalMillis) {
-        executor.scheduleWithFixedDelay(task, 0, intervalMillis, TimeUnit.MILLISECONDS);
+        executor.scheduleWithFixedDelay(() -> runReported(task), 0, intervalMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Runs {@code task}; the executor would keep an exception to itself and run a periodic task never again. */
+    private static void runReported(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            Thread current = Thread.currentThread();
+            current.getUncaughtExceptionHandler().uncaughtException(current, e);
+        }
     }
 
     @Override
