Entry instances and agents can stop properly as soon as they listen

What callers saw: a process that was terminated shortly after its start ended at once; requests that it had accepted ended without a response and without a line.

Cause: the shutdown hook was registered after the listeners were open and the start had been reported. Class of fault: work is accepted before the process can end it properly.

The hook is now registered first; a termination during the start waits for its end and then drains. A failed start has nothing to stop.

Not changed: a SIGHUP drains and ends these processes, as the Java machine treats it like a SIGTERM. They have no reload of settings.

--- a/app/src/main/java/org/jasminehub/app/AgentCommand.java
+++ b/app/src/main/java/org/jasminehub/app/AgentCommand.java
@@ -24,18 +24,23 @@
     @Override
     int run() {
         AgentSettings settings = new SettingsLoader().load(settingsFile, AgentSettings.class);
+        ProcessRuntime.runUntilTermination(() -> start(settings));
+        return Main.EXIT_OK;
+    }
+
+    /** Returns the action that stops the started program. */
+    private Runnable start(AgentSettings settings) {
         ProcessRuntime runtime = new ProcessRuntime(settings.instance());
         Agent agent = new Agent(
                 settings, runtime.system(), runtime.group(), runtime.clock(), runtime.events(), runtime.metrics());
         OperationsServer operations =
                 Operations.start(settings.host(), settings.operationsPort(), runtime.metrics(), () -> true);
         out.println("started " + settings.host() + ":" + agent.wirePort() + " operations " + operations.port());
-        ProcessRuntime.awaitTermination(() -> {
+        return () -> {
             agent.drain().toCompletableFuture().join();
             agent.close();
             operations.close();
             runtime.close();
-        });
-        return Main.EXIT_OK;
+        };
     }
 }
--- a/app/src/main/java/org/jasminehub/app/DemoCommand.java
+++ b/app/src/main/java/org/jasminehub/app/DemoCommand.java
@@ -24,7 +24,7 @@
         demo.awaitReady();
         out.println("ready " + String.join(" ", demo.entryAddresses()));
         out.println(demo.exampleCommands());
-        ProcessRuntime.awaitTermination(() -> {
+        ProcessRuntime.runUntilTermination(() -> () -> {
             demo.close();
             runtime.close();
         });
--- a/app/src/main/java/org/jasminehub/app/EntryCommand.java
+++ b/app/src/main/java/org/jasminehub/app/EntryCommand.java
@@ -26,6 +26,12 @@
     @Override
     int run() {
         EntrySettings settings = new SettingsLoader().load(settingsFile, EntrySettings.class);
+        ProcessRuntime.runUntilTermination(() -> start(settings));
+        return Main.EXIT_OK;
+    }
+
+    /** Returns the action that stops the started program. */
+    private Runnable start(EntrySettings settings) {
         ProcessRuntime runtime = new ProcessRuntime(settings.instance());
         EntryInstance entry = new EntryInstance(
                 settings,
@@ -38,12 +44,11 @@
         OperationsServer operations =
                 Operations.start(settings.host(), settings.operationsPort(), runtime.metrics(), entry::isReady);
         out.println("started " + settings.host() + ":" + entry.callerPort() + " operations " + operations.port());
-        ProcessRuntime.awaitTermination(() -> {
+        return () -> {
             entry.drain().toCompletableFuture().join();
             entry.close();
             operations.close();
             runtime.close();
-        });
-        return Main.EXIT_OK;
+        };
     }
 }
--- a/app/src/main/java/org/jasminehub/app/ProcessRuntime.java
+++ b/app/src/main/java/org/jasminehub/app/ProcessRuntime.java
@@ -1,7 +1,9 @@
 package org.jasminehub.app;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.Supplier;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.jasminehub.core.event.EventSink;
@@ -51,16 +53,30 @@
         return metrics;
     }
 
-    /** Blocks until the process is terminated, and runs {@code stop} in a shutdown hook. */
-    static void awaitTermination(Runnable stop) {
+    /**
+     * Starts a program and blocks until the process is terminated.
+     *
+     * <p>Callers may be connected before the start is complete, so a termination during the start waits for its end and
+     * then stops the program as usual.
+     *
+     * @param start starts the program and returns the action that stops it, which runs in a shutdown hook
+     */
+    static void runUntilTermination(Supplier<Runnable> start) {
+        CompletableFuture<Runnable> stop = new CompletableFuture<>();
         CountDownLatch stopped = new CountDownLatch(1);
         Thread hook = new Thread(
                 () -> {
-                    stop.run();
+                    stop.join().run();
                     stopped.countDown();
                 },
                 "shutdown");
         Runtime.getRuntime().addShutdownHook(hook);
+        try {
+            stop.complete(start.get());
+        } finally {
+            // After a failed start there is nothing to stop.
+            stop.complete(() -> {});
+        }
         try {
             stopped.await();
         } catch (InterruptedException e) {
