Exceptions of the event loop's tasks are logged

What operators would have seen: nothing. If a task of the event loop threw (a part of a stop, the dispatch of queued calls, a listener of a write), it ended there, and its callers waited without a line.

Cause: Netty reports such exceptions as warnings, and the gateway's loggers passed on errors only. Class of fault: a failure that is swallowed.

Warnings of Netty are now logged, as in the other programs. The test that required that warnings are not logged guarded against debug output; it now requires that warnings are logged and lower levels are not.

Not covered: exceptions of timers. Netty keeps them in the timer's future and reports them nowhere.

Before: DeferredLoggerFactoryTest failed (expected: <[failed, 1 and 2, task 3 failed]> but was: <[failed, 1 and 2]>). After: it passes; PlannedStopTest and StreamsTest are green.

--- a/gateway/src/main/java/org/jasminehub/gateway/telemetry/DeferredLogger.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/telemetry/DeferredLogger.java
@@ -5,7 +5,10 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** A logger of Netty that passes on errors only, and sets up the logging libraries for the first of them. */
+/**
+ * A logger of Netty that passes on errors and warnings only, and sets up the logging libraries for the first of them.
+ * Netty reports exceptions that the tasks of an event loop throw as warnings.
+ */
 final class DeferredLogger extends AbstractInternalLogger {
     private static final long serialVersionUID = 1L;
 
@@ -79,23 +82,33 @@
 
     @Override
     public boolean isWarnEnabled() {
-        return false;
+        return true;
     }
 
     @Override
-    public void warn(String msg) {}
+    public void warn(String msg) {
+        target().warn(msg);
+    }
 
     @Override
-    public void warn(String format, @Nullable Object arg) {}
+    public void warn(String format, @Nullable Object arg) {
+        target().warn(format, arg);
+    }
 
     @Override
-    public void warn(String format, @Nullable Object argA, @Nullable Object argB) {}
+    public void warn(String format, @Nullable Object argA, @Nullable Object argB) {
+        target().warn(format, argA, argB);
+    }
 
     @Override
-    public void warn(String format, @Nullable Object... arguments) {}
+    public void warn(String format, @Nullable Object... arguments) {
+        target().warn(format, arguments);
+    }
 
     @Override
-    public void warn(String msg, Throwable t) {}
+    public void warn(String msg, Throwable t) {
+        target().warn(msg, t);
+    }
 
     @Override
     public boolean isErrorEnabled() {
--- a/gateway/src/main/java/org/jasminehub/gateway/telemetry/DeferredLoggerFactory.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/telemetry/DeferredLoggerFactory.java
@@ -4,7 +4,7 @@
 import io.netty.util.internal.logging.InternalLoggerFactory;
 
 /**
- * Creates loggers for Netty that set up the logging libraries only for a first error. Lower levels of Netty are disabled
+ * Creates loggers for Netty that set up the logging libraries only for a first error or warning. Lower levels of Netty are disabled
  * by {@link LogConfigurator} in any case.
  */
 public final class DeferredLoggerFactory extends InternalLoggerFactory {
--- a/gateway/src/main/java/org/jasminehub/gateway/telemetry/LogConfigurator.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/telemetry/LogConfigurator.java
@@ -35,7 +35,7 @@
         ch.qos.logback.classic.Logger root = loggers.getLogger(Logger.ROOT_LOGGER_NAME);
         root.setLevel(Level.toLevel(System.getenv(LEVEL_VARIABLE), Level.INFO));
         root.addAppender(appender);
-        loggers.getLogger("io.netty").setLevel(Level.ERROR);
+        loggers.getLogger("io.netty").setLevel(Level.WARN);
         return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
     }
 }
--- a/gateway/src/test/java/org/jasminehub/gateway/telemetry/DeferredLoggerFactoryTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/telemetry/DeferredLoggerFactoryTest.java
@@ -11,13 +11,13 @@
 import org.junit.jupiter.api.Test;
 import org.slf4j.LoggerFactory;
 
-/** Tests the loggers that Netty gets. */
+/** Tests the loggers that Netty gets; it reports the failures of tasks of its event loops as warnings. */
 final class DeferredLoggerFactoryTest {
     private static final String NAME = "io.netty.sample";
 
-    /** Guards against errors of Netty that are lost because its loggers are set up late. */
+    /** Guards against failures that Netty reports and that are lost because its loggers are set up late. */
     @Test
-    void testErrorsAreLoggedAndLowerLevelsAreNot() {
+    void testErrorsAndWarningsAreLoggedAndLowerLevelsAreNot() {
         Logger target = (Logger) LoggerFactory.getLogger(NAME);
         ListAppender<ILoggingEvent> appender = new ListAppender<>();
         appender.start();
@@ -27,13 +27,15 @@
 
         logger.error("failed", cause);
         logger.error("{} and {}", 1, 2);
-        logger.warn("not logged");
+        logger.warn("task {} failed", 3, cause);
+        logger.info("not logged");
         target.detachAppender(appender);
 
-        assertFalse(logger.isWarnEnabled());
+        assertFalse(logger.isInfoEnabled());
         assertEquals(
-                List.of("failed", "1 and 2"),
+                List.of("failed", "1 and 2", "task 3 failed"),
                 appender.list.stream().map(ILoggingEvent::getFormattedMessage).toList());
         assertEquals("cause", appender.list.get(0).getThrowableProxy().getMessage());
+        assertEquals("cause", appender.list.get(2).getThrowableProxy().getMessage());
     }
 }
