One failure after the inspection of an endpoint does not stop the other calls

What callers would have seen: calls that an endpoint had cut wait without an attempt until their deadline, and are refused then, although another endpoint could run them.

Cause: the calls that wait for one inspection went on in a loop, after the crash had been reported to the peers. An exception in the report or in one of the calls ended the loop. Class of fault: a failure in one call stops the loop over the others.

Each call now goes on in a task of its own, still after the report.

Before: both tests of CrashInspectorTest timed out. After: they pass; CrashingPromptTest and RepeatedCrashingRequestTest are green.

--- a/gateway/src/main/java/org/jasminehub/gateway/quarantine/CrashInspector.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/quarantine/CrashInspector.java
@@ -42,10 +42,11 @@
         inspections.put(endpoint.id(), started);
         client.checkListening(new EndpointAddress(endpoint.host(), endpoint.port()), isListening -> {
             inspections.remove(endpoint.id());
+            // Each continuation is a task of its own, so that a failure leaves no other call without its next attempt.
+            started.continuations().forEach(client.loop()::execute);
             if (!isListening) {
                 onCrash.accept(new EndpointCrash(endpoint.id(), endpoint.startedWallMillis(), started.suspects(), 0));
             }
-            started.continuations().forEach(Runnable::run);
         });
     }
 }
