A record that cannot be applied does not end the reading of the store

What callers would have seen: calls sent to endpoints that have left, and configurations that never come into force at one instance, without a line.

Cause: the next read is started after the records have been applied. An exception while they were applied (everything that a change sets off: dispatch of queued calls, readiness, evacuation) was kept in a future that nobody reads, and no further read followed. Class of fault: one failure ends a loop for good.

The failure is now logged as RECORD_REJECTED and the reads go on, as after a record that cannot be decoded.

Before: LogFollowerTest.testReadingGoesOnAfterARecordThatCannotBeApplied failed (expected: <1> but was: <0> reads).

--- a/gateway/src/main/java/org/jasminehub/gateway/control/LogFollower.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/LogFollower.java
@@ -181,12 +181,7 @@
         retryDelayMillis = MIN_RETRY_MILLIS;
         nextOffset = slice.nextOffset();
         StateAge.ClockReading asOf = confirmedAt(requestedAt, waitMillis, slice);
-        listener.onSlice(slice, waitMillis == NO_WAIT, asOf.monotonicMillis());
-        if (waitMillis == NO_WAIT) {
-            listener.onSnapshot(slice.records());
-        } else if (!slice.records().isEmpty()) {
-            listener.onRecords(slice.records());
-        }
+        apply(slice, waitMillis == NO_WAIT, asOf.monotonicMillis());
         // After a restore the store does not show the lost records until they have been written again.
         if (eras.isCompleteSince(requestedAt.monotonicMillis()) && listener.isUpToDate()) {
             age.confirm(asOf);
@@ -198,6 +193,21 @@
                 () -> read(readGeneration));
     }
 
+    /** Passes the slice on; a failure is logged and must not end the reads, like a record that cannot be decoded. */
+    private void apply(LogSlice slice, boolean isSnapshot, long asOfMillis) {
+        try {
+            listener.onSlice(slice, isSnapshot, asOfMillis);
+            if (isSnapshot) {
+                listener.onSnapshot(slice.records());
+            } else if (!slice.records().isEmpty()) {
+                listener.onRecords(slice.records());
+            }
+        } catch (RuntimeException e) {
+            events.emit(new ControlEvent(
+                    ControlEventKind.RECORD_REJECTED, topic.name(), "applying failed: " + e, age.millis()));
+        }
+    }
+
     /**
      * Returns the time as of which the slice is current. A read that waited in full without a record saw the log as it
      * was at the end of the wait.
--- a/gateway/src/test/java/org/jasminehub/gateway/control/LogFollowerTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/control/LogFollowerTest.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.jasminehub.platform.PlatformException;
 import org.jasminehub.platform.hosted.KeyedRecord;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -82,6 +83,32 @@
         assertEquals(1, store.reads.size());
     }
 
+    /** Guards against an instance that never again learns of a change because one record could not be applied. */
+    @Test
+    void testReadingGoesOnAfterARecordThatCannotBeApplied() {
+        LogFollower.Listener failing = new LogFollower.Listener() {
+            @Override
+            public void onSnapshot(List<KeyedRecord> records) {
+                throw new PlatformException("snapshot", "cause", null);
+            }
+
+            @Override
+            public void onRecords(List<KeyedRecord> records) {
+                listener.onRecords(records);
+                throw new PlatformException("records", "cause", null);
+            }
+        };
+        store.follow(FollowerSettings.waiting(() -> WAIT_MILLIS, TIMEOUT_MILLIS), failing)
+                .restart();
+
+        store.answerEmptySnapshot();
+        assertEquals(1, store.reads.size());
+        store.answerRecords("a");
+        assertEquals(1, store.reads.size());
+        store.answerRecords("b");
+        assertEquals(List.of("a", "b"), keys);
+    }
+
     /** Guards against a read that confirms the age only at the end of its wait, and against applying records twice. */
     @Test
     void testAReadAtOnceReplacesTheWaitingRead() {
