A stream is not continued by a response that is none of its parts

Callers whose stream had broken off after two events got the text of the next endpoint's response in their stream, followed by a complete end, if that response was a signed 200: plain text, HTML or JSON with a blank line, an error event, or any other event without an id.

Cause: an event without an id was taken as a part of the stream of the current attempt even if that attempt had delivered nothing yet, and the end of any 2xx response as the end of the stream. Class of fault: a decision that is right for the first response was applied to one that has to fit another.

Ruled out, with tests that passed before the change: error statuses (500, 503, 429, 400, 302, 304) with a length, in chunks, without both, cut, with a split head or behind an interim response; no signature; ids that leave a gap or repeat; half an event; refused connections; no endpoint left; the end of the process; requests behind the stream on the caller's connection; HTTP/1.0 (refused with 400); the late error of the silent one of two open attempts; a reset stream without a length.

Change: DeliveredResponse keeps the status and the type of the head that the caller has, and a response with others fails its attempt. Events without ids are discarded until one continues the stream. If only such events came, the end fails the attempt; comments do not count.

--- a/core/src/main/java/org/jasminehub/core/balance/SilentStreamPolicy.java
+++ b/core/src/main/java/org/jasminehub/core/balance/SilentStreamPolicy.java
@@ -55,13 +55,13 @@
      *
      * @param lastEventId the id of the last event that the caller has, null if there is none
      * @param hasOutput whether the caller has any event
-     * @param isSecondAttempt whether an earlier attempt is still open
+     * @param isContinuation whether the attempt would continue the response of another one
      */
     public static EventDecision decide(
-            @Nullable Long eventId, @Nullable Long lastEventId, boolean hasOutput, boolean isSecondAttempt) {
+            @Nullable Long eventId, @Nullable Long lastEventId, boolean hasOutput, boolean isContinuation) {
         if (eventId == null) {
             // Without an id, nothing shows that the event follows the last one or that the caller does not have it.
-            return isSecondAttempt && hasOutput ? EventDecision.DISCARD : EventDecision.DELIVER;
+            return isContinuation && hasOutput ? EventDecision.DISCARD : EventDecision.DELIVER;
         }
         return lastEventId == null || eventId == lastEventId + 1 ? EventDecision.DELIVER : EventDecision.FAIL_ATTEMPT;
     }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
@@ -33,6 +33,7 @@
     private final QueueWait queueWait;
     private final CallIdentity identity;
     private final CallAttempts attempts;
+    private final DeliveredResponse delivered = new DeliveredResponse();
     private String service = "";
     private @Nullable ScheduledFuture<?> deadlineTimer;
     private long firstByteMillis = -1;
@@ -137,6 +138,10 @@
         lastEventId = id;
     }
 
+    DeliveredResponse delivered() {
+        return delivered;
+    }
+
     boolean isHeadSent() {
         return isHeadSent;
     }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/StreamRelay.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/StreamRelay.java
@@ -1,6 +1,7 @@
 package org.jasminehub.gateway.call;
 
 import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.jasminehub.core.balance.AttemptEnd;
@@ -24,6 +25,8 @@
     private final EventSplitter splitter = new EventSplitter();
     private HttpResponseStatus status = HttpResponseStatus.OK;
     private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
+    private boolean hasDelivered;
+    private boolean hasDiscardedContent;
 
     StreamRelay(RunningCall call, Attempt attempt) {
         this.call = call;
@@ -34,12 +37,24 @@
     public void begin(HttpResponseStatus responseStatus, HttpHeaders responseHeaders, ResponseHeaders parsedHeaders) {
         status = responseStatus;
         headers = responseHeaders;
+        if (!call.delivered().isContinuedBy(status, headers)) {
+            attempt.fail(
+                    AttemptEnd.MAY_HAVE_RUN,
+                    "status " + status.code() + " with type " + headers.get(HttpHeaderNames.CONTENT_TYPE)
+                            + " does not continue the stream");
+        }
+    }
+
+    /** Returns whether the caller's last event is from another attempt. */
+    private boolean isContinuation() {
+        return call.attempts().isCandidate(attempt) || (call.isHeadSent() && !hasDelivered);
     }
 
     /** Sends the head with the first event, since a call without an event can still be answered with an error. */
     private void sendHead() {
         if (!call.isHeadSent()) {
             call.answer().begin(status, ResponseHeadersAdapter.forCaller(headers), CallerResponse.UNKNOWN_LENGTH);
+            call.delivered().onStreamHead(status, headers);
             call.onHeadSent();
         }
     }
@@ -48,15 +63,17 @@
     public void part(byte[] bytes) {
         for (StreamEvent event : splitter.take(bytes)) {
             @Nullable Long id = event.id();
-            EventDecision decision = SilentStreamPolicy.decide(
-                    id, call.lastEventId(), call.hasOutput(), call.attempts().isCandidate(attempt));
+            EventDecision decision =
+                    SilentStreamPolicy.decide(id, call.lastEventId(), call.hasOutput(), isContinuation());
             if (decision == EventDecision.FAIL_ATTEMPT) {
                 attempt.fail(AttemptEnd.MAY_HAVE_RUN, "event " + id + " received after event " + call.lastEventId());
                 return;
             }
             if (decision == EventDecision.DISCARD) {
+                hasDiscardedContent |= !event.isComment();
                 continue;
             }
+            hasDelivered = true;
             call.attempts().onDelivery(attempt);
             sendHead();
             call.answer().part(event.bytes());
@@ -78,6 +95,11 @@
             attempt.fail(AttemptEnd.MAY_HAVE_RUN, "stream ended inside an event");
             return;
         }
+        if (hasDiscardedContent && !hasDelivered) {
+            // For example an error event: the end of such a response is not the end of the stream.
+            attempt.fail(AttemptEnd.MAY_HAVE_RUN, "stream ended without an event that continues it");
+            return;
+        }
         if (!call.hasOutput()) {
             attempt.failCut("stream ended without an event");
             return;
--- a/gateway/src/test/java/org/jasminehub/gateway/SilentStreamsTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/SilentStreamsTest.java
@@ -9,6 +9,8 @@
 import org.jasminehub.gateway.call.CallEventKind;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests which of two open attempts continues a stream without events from its endpoint. */
 final class SilentStreamsTest extends SilentStreamFixture {
@@ -121,6 +123,31 @@
             assertEvents(2, gateway.exchange(stream(ID)));
         }
 
+        @ParameterizedTest
+        @ValueSource(strings = {"500 Error", "404 Not Found", "503 Busy\r\nX-Not-Executed: 1", "200 OK"})
+        void testAStreamIsNotEndedByTheLateErrorOfItsFirstEndpoint(String status) throws Exception {
+            serveWithBothEndpoints();
+            AtomicBoolean isBodyBegun = new AtomicBoolean();
+            script.add((request, socket) -> {
+                GatewayHarness.await(() -> requests() == 2);
+                // The body of the error has begun when the other endpoint sends its first event.
+                String type = status.startsWith("200") ? "\r\nContent-Type: text/plain" : "";
+                BrokenStreamsTest.signed(status + type + "\r\nContent-Length: 12", "failed", true)
+                        .answer(request, socket);
+                isBodyBegun.set(true);
+                GatewayHarness.await(() -> ended() != null);
+                return false;
+            });
+            script.add((request, socket) -> {
+                head(request, socket);
+                GatewayHarness.await(isBodyBegun::get);
+                events(socket, 1, 3);
+                return end(socket);
+            });
+
+            assertEvents(3, gateway.exchange(stream(ID)));
+        }
+
         @Test
         void testAStreamIsContinuedTwiceWithoutGapsOrDuplicates() throws Exception {
             serveWithBothEndpoints();
