An entry instance continues no response with an answer of another status

Cause: RelaySession accepted any attempt that received a head, also for the rest of a response, and the chunks of its body were relayed whatever its status was. A buffered response that failed before its first byte got the body of another status in the same way. Class of fault: a decision that is right for the first response was applied to one that has to fit another.

Ruled out: 5xx of an engine, which its agent reports as a refusal (the case of 503 only failed for an expectation of the test: the engine that breaks off may drop events that it has not written yet).

Change: the head of a further attempt must have the status and the headers of the first one; otherwise the attempt has failed and is retried or the response is cut.

--- a/app/src/test/java/org/jasminehub/app/session/StreamFailureTest.java
+++ b/app/src/test/java/org/jasminehub/app/session/StreamFailureTest.java
@@ -21,6 +21,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 @Timeout(120)
 final class StreamFailureTest {
@@ -122,6 +124,11 @@
     @Test
     void testStreamThatNoEngineCanFinishIsAborted() throws Exception {
         demo.engines().forEach(engine -> engine.failAfterTokens(7));
+        assertFalse(receiveAborted().contains("[DONE]"));
+    }
+
+    /** Returns what the caller received of a stream that must end as visibly incomplete. */
+    private String receiveAborted() throws IOException, InterruptedException {
         HttpResponse<InputStream> response = client.send(chat(true), HttpResponse.BodyHandlers.ofInputStream());
         StringBuilder text = new StringBuilder();
         boolean isAborted = false;
@@ -132,8 +139,24 @@
         } catch (IOException e) {
             isAborted = true;
         }
-        assertTrue(isAborted);
-        assertFalse(text.toString().contains("[DONE]"));
+        assertTrue(isAborted, text.toString());
+        return text.toString();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {400, 429, 503})
+    void testAnErrorOfTheNextEngineIsNotPartOfTheStream(int status) throws Exception {
+        demo.engines().forEach(engine -> {
+            engine.failAfterTokens(7);
+            engine.answerResumedRequestsWith(status);
+        });
+
+        String received = receiveAborted();
+
+        // The failing engine may drop events that it has not written yet.
+        String text = textOf(received.replaceAll("event: error\ndata: .*", ""));
+        assertTrue(EngineStandin.textOf("tell", 7).startsWith(text), received);
+        assertFalse(received.contains("refused") || received.contains("[DONE]"), received);
     }
 
     @Test
--- a/entry/src/main/java/org/jasminehub/entry/relay/RelaySession.java
+++ b/entry/src/main/java/org/jasminehub/entry/relay/RelaySession.java
@@ -25,6 +25,8 @@
 import org.jasminehub.entry.endpoint.EndpointLink;
 import org.jasminehub.entry.filter.Failures;
 import org.jasminehub.entry.filter.RequestContext;
+import org.jasminehub.wire.generated.AnswerHead;
+import org.jspecify.annotations.Nullable;
 
 /** The successive attempts of one request, each at a different endpoint. Must be used by one thread at a time. */
 final class RelaySession {
@@ -39,6 +41,7 @@
     private final DelayedExecutor delays;
     private final RetryPolicy retries;
     private final List<EndpointId> tried = new ArrayList<>();
+    private @Nullable AnswerHead begun;
 
     RelaySession(
             RequestContext context,
@@ -103,12 +106,34 @@
                 clock);
         attempt.startDeadline(remainingMillis(), delays);
         return attempt.head()
-                .handle((head, failure) -> failure == null
-                        ? CompletableFuture.completedFuture(attempt)
-                        : retryAfterFailure(Failures.toRequestException(failure), resumeFromChunk))
+                .handle((head, failure) -> {
+                    if (failure != null) {
+                        return retryAfterFailure(Failures.toRequestException(failure), resumeFromChunk);
+                    }
+                    if (!isContinuedBy(head)) {
+                        attempt.cancel();
+                        return retryAfterFailure(
+                                new RequestException(
+                                        ErrorCode.ENDPOINT_FAILED,
+                                        Outcome.UNKNOWN,
+                                        "an answer with status " + head.getStatus()
+                                                + " does not continue the response"),
+                                resumeFromChunk);
+                    }
+                    begun = head;
+                    return CompletableFuture.completedFuture(attempt);
+                })
                 .thenCompose(stage -> stage);
     }
 
+    /** Returns whether the body of an answer with this head can follow the head that the caller receives. */
+    private boolean isContinuedBy(AnswerHead head) {
+        AnswerHead first = begun;
+        return first == null
+                || (first.getStatus() == head.getStatus()
+                        && first.getHeadersList().equals(head.getHeadersList()));
+    }
+
     private CompletionStage<Attempt> retryAfterFailure(RequestException failure, int resumeFromChunk) {
         RetryDecision decision = retries.decide(
                 new FailedAttempt(subject(), tried.size(), failure.code(), failure.outcome(), remainingMillis(), 0));
--- a/standin/src/main/java/org/jasminehub/standin/EngineStandin.java
+++ b/standin/src/main/java/org/jasminehub/standin/EngineStandin.java
@@ -50,6 +50,7 @@
     private final AtomicInteger cancelled = new AtomicInteger();
     private volatile int stepMillis;
     private volatile int failAfterTokens = Integer.MAX_VALUE;
+    private volatile int resumeStatus = StandinServer.STATUS_OK;
 
     /** Starts an engine on {@code port} that takes {@code stepMillis} per token; port 0 selects a free one. */
     public EngineStandin(ClassicActorSystemProvider system, int port, int stepMillis, int capacityRequests) {
@@ -84,6 +85,11 @@
         failAfterTokens = tokens;
     }
 
+    /** Answers every later request for the rest of a stream with {@code status} and the text "refused". */
+    public void answerResumedRequestsWith(int status) {
+        resumeStatus = status;
+    }
+
     /** Returns the text of {@code tokens} tokens that every engine generates for {@code prompt}. */
     public static String textOf(String prompt, int tokens) {
         return IntStream.range(0, tokens).mapToObj(i -> tokenOf(prompt, i)).collect(Collectors.joining());
@@ -122,6 +128,10 @@
         started.incrementAndGet();
         String id = headerValue(request, "x-request-id", "none");
         int from = Integer.parseInt(headerValue(request, RESUME_HEADER, "0"));
+        if (from > 0 && resumeStatus != StandinServer.STATUS_OK) {
+            return CompletableFuture.completedFuture(
+                    StandinServer.status(resumeStatus).withEntity("refused"));
+        }
         if (chat.stream()) {
             return CompletableFuture.completedFuture(stream(id, chat, from));
         }
