An agent does not relay an engine's error event as output

Callers got the data of an engine's error event as an event of their stream; the stream then went on at another engine, without the event whose place the error had taken (ORDER).

Cause: agents relay the data of every event and drop its type. The error was counted as an event, so the next engine continued one event too late. Class of fault: an error that arrives where output is expected is taken for output.

Change: an event of the type "error" ends the stream as incomplete, which fails the call; the entry instance continues it elsewhere or cuts it. Errors that an engine sends as an event without that type cannot be told from output.

Before: StreamFailureTest.testAnErrorEventOfAnEngineIsNotPartOfTheStream expected: <... sun brand sun reel ...> but was: <... sun brand reel ...> After: StreamFailureTest 9 tests, EndToEndTest 6 tests, no failure.

--- a/agent/src/main/java/org/jasminehub/agent/engine/EndpointRelay.java
+++ b/agent/src/main/java/org/jasminehub/agent/engine/EndpointRelay.java
@@ -24,10 +24,12 @@
  * Sends calls to the endpoint and relays the responses: a stream as one chunk per event, and any other response in the
  * pieces in which its bytes arrive.
  *
- * <p>A stream is complete only if the engine ended it with {@value #STREAM_END}. Thread-safe.
+ * <p>A stream is complete only if the engine ended it with {@value #STREAM_END}. An event of the type {@value
+ * #ERROR_EVENT} is not relayed; it fails the call. Thread-safe.
  */
 public final class EndpointRelay implements CallHandler {
     private static final String STREAM_END = "[DONE]";
+    private static final String ERROR_EVENT = "error";
     private static final int FIRST_SERVER_ERROR_STATUS = 500;
     private static final long RETRY_AFTER_MILLIS = 200;
 
@@ -86,6 +88,7 @@
     private void relayEvents(AgentCall call, Source<ServerSentEvent, NotUsed> eventStream) {
         AtomicBoolean isComplete = new AtomicBoolean();
         Source<ByteString, NotUsed> chunks = eventStream
+                .takeWhile(event -> !ERROR_EVENT.equals(event.getEventType().orElse("")))
                 .map(ServerSentEvent::getData)
                 .takeWhile(data -> !isStreamEnd(data, isComplete))
                 .map(ByteString::fromString);
--- a/app/src/test/java/org/jasminehub/app/session/StreamFailureTest.java
+++ b/app/src/test/java/org/jasminehub/app/session/StreamFailureTest.java
@@ -159,6 +159,19 @@
         assertFalse(received.contains("refused") || received.contains("[DONE]"), received);
     }
 
+    @Test
+    void testAnErrorEventOfAnEngineIsNotPartOfTheStream() throws Exception {
+        EngineStandin failingEngine = demo.engines().get(0);
+        failingEngine.failAfterTokens(7);
+        failingEngine.sendErrorEvent();
+        while (failingEngine.startedRequests() == 0) {
+            HttpResponse<String> response = send(true);
+            assertEquals(EngineStandin.textOf("tell", TOKENS), textOf(response.body()));
+            assertFalse(response.body().contains("failed"), response.body());
+            assertTrue(response.body().endsWith("data: [DONE]\n\n"));
+        }
+    }
+
     @Test
     void testCallerDisconnectCancelsTheEngineRequest() throws Exception {
         demo.engines().forEach(engine -> engine.setStepMillis(50));
--- a/standin/src/main/java/org/jasminehub/standin/EngineStandin.java
+++ b/standin/src/main/java/org/jasminehub/standin/EngineStandin.java
@@ -19,6 +19,7 @@
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.MediaTypes;
+import org.apache.pekko.japi.pf.PFBuilder;
 import org.apache.pekko.stream.javadsl.Source;
 import org.apache.pekko.util.ByteString;
 import org.jasminehub.platform.PlatformException;
@@ -51,6 +52,7 @@
     private volatile int stepMillis;
     private volatile int failAfterTokens = Integer.MAX_VALUE;
     private volatile int resumeStatus = StandinServer.STATUS_OK;
+    private volatile boolean sendsErrorEvent;
 
     /** Starts an engine on {@code port} that takes {@code stepMillis} per token; port 0 selects a free one. */
     public EngineStandin(ClassicActorSystemProvider system, int port, int stepMillis, int capacityRequests) {
@@ -85,6 +87,11 @@
         failAfterTokens = tokens;
     }
 
+    /** Makes a response that fails end with an error event, as if it were complete. */
+    public void sendErrorEvent() {
+        sendsErrorEvent = true;
+    }
+
     /** Answers every later request for the rest of a stream with {@code status} and the text "refused". */
     public void answerResumedRequestsWith(int status) {
         resumeStatus = status;
@@ -148,6 +155,11 @@
                 .map(pair -> event(toJson(
                         CompletionJson.chunk(id, chat.model(), pair.first(), from + (Long) pair.second() == last))))
                 .concat(Source.single(event("[DONE]")));
+        if (sendsErrorEvent) {
+            events = events.recover(new PFBuilder<Throwable, ByteString>()
+                    .matchAny(failure -> ByteString.fromString("event: error\ndata: {\"failed\":true}\n\n"))
+                    .build());
+        }
         return HttpResponse.create()
                 .withEntity(HttpEntities.createChunked(
                         ContentTypes.create(MediaTypes.TEXT_EVENT_STREAM), withCounters(events)));
