A response whose position is not known is not continued

Callers got two runs in one stream if the first one broke off after an event without an id: the next endpoint sent the stream from its beginning. A stream that broke off with an error event without an id went on after it.

Cause: only second attempts after a silence were checked for whether the stream can be continued, not retries after a failure, and the check held a Last-Event-Id of the caller for a position that had been reached. Whether the head that the caller has is that of a stream was not checked at all.

Ruled out: a large response on other routes is not joined with another one, since Attempt.onHead lets only streams follow a sent head.

Change: DeliveredResponse records whether the caller has a stream whose last event, comments aside, has an id; otherwise nothing is retried once the head is sent, and the response is cut. SilentStreamPolicy.canContinue takes this instead of the id; its test states the same three cases.

--- a/core/src/main/java/org/jasminehub/core/balance/SilentStreamPolicy.java
+++ b/core/src/main/java/org/jasminehub/core/balance/SilentStreamPolicy.java
@@ -41,13 +41,14 @@
     }
 
     /**
-     * Returns whether a second attempt can continue the stream. After events without ids, it would deliver them again.
+     * Returns whether another attempt can continue the response. After an event without an id, it would deliver that
+     * event again, or the event was an error after which the stream does not go on.
      *
-     * @param lastEventId the id of the last event that the caller has, null if there is none
-     * @param hasOutput whether the caller has any event
+     * @param isHeadSent whether the caller has the head of a response
+     * @param isPositionKnown whether the caller has a stream whose last event has an id
      */
-    public static boolean canContinue(@Nullable Long lastEventId, boolean hasOutput) {
-        return lastEventId != null || !hasOutput;
+    public static boolean canContinue(boolean isHeadSent, boolean isPositionKnown) {
+        return !isHeadSent || isPositionKnown;
     }
 
     /**
--- a/core/src/test/java/org/jasminehub/core/balance/SilentStreamPolicyTest.java
+++ b/core/src/test/java/org/jasminehub/core/balance/SilentStreamPolicyTest.java
@@ -67,10 +67,10 @@
         }
 
         @Test
-        void testEventsWithoutIdsAreNotRepeatedByASecondAttempt() {
-            assertFalse(SilentStreamPolicy.canContinue(null, true));
-            assertTrue(SilentStreamPolicy.canContinue(null, false));
-            assertTrue(SilentStreamPolicy.canContinue(3L, true));
+        void testEventsWithoutIdsAreNotRepeatedByAnotherAttempt() {
+            assertFalse(SilentStreamPolicy.canContinue(true, false));
+            assertTrue(SilentStreamPolicy.canContinue(false, false));
+            assertTrue(SilentStreamPolicy.canContinue(true, true));
         }
 
         @Test
--- a/gateway/src/main/java/org/jasminehub/gateway/call/BufferedRelay.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/BufferedRelay.java
@@ -57,6 +57,7 @@
         if (buffer.size() > MAX_BUFFERED_BYTES && headers != null && !isNotRun) {
             call.attempts().onDelivery(attempt);
             call.answer().begin(status, headers, contentLength);
+            call.delivered().onOtherHead();
             call.onHeadSent();
             call.answer().part(buffer.toByteArray());
             buffer.reset();
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallAttempts.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallAttempts.java
@@ -104,7 +104,9 @@
 
     /** Returns whether the call could be sent again if the current attempt were its only open one and failed now. */
     boolean mayRetryAfterRun() {
-        return CallRetryPolicy.mayRetry(call.route(), AttemptEnd.MAY_HAVE_RUN, runs + 1, sends, call.remainingMillis())
+        return call.delivered().canContinue()
+                && CallRetryPolicy.mayRetry(
+                        call.route(), AttemptEnd.MAY_HAVE_RUN, runs + 1, sends, call.remainingMillis())
                 && dispatcher.unavailability(call.service()).isEmpty()
                 && dispatcher.isAnyPermitted(call.service());
     }
@@ -127,7 +129,6 @@
                 && !silent.isEnded()
                 && candidate == null
                 && mayRetryAfterRun()
-                && SilentStreamPolicy.canContinue(call.lastEventId(), call.hasOutput())
                 && call.answer().isWritable()
                 && !dispatcher.isStalled(call.service(), SilentStreamPolicy.STALL_THRESHOLD_MILLIS)
                 && !call.identity().isSuspected()
@@ -205,7 +206,8 @@
         }
         stopWaiting();
         current = null;
-        boolean isRetried = CallRetryPolicy.mayRetry(call.route(), end, runs, sends, call.remainingMillis())
+        boolean isRetried = call.delivered().canContinue()
+                && CallRetryPolicy.mayRetry(call.route(), end, runs, sends, call.remainingMillis())
                 && !call.identity().isSuspected()
                 && dispatcher.tryRetry(call.service());
         failed.report(end, reason, isRetried);
--- a/gateway/src/main/java/org/jasminehub/gateway/call/StreamRelay.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/StreamRelay.java
@@ -77,6 +77,7 @@
             call.attempts().onDelivery(attempt);
             sendHead();
             call.answer().part(event.bytes());
+            call.delivered().onEvent(event);
             if (id != null) {
                 call.onEventDelivered(id);
             }
--- a/gateway/src/test/java/org/jasminehub/gateway/BrokenStreamsTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/BrokenStreamsTest.java
@@ -17,6 +17,9 @@
 
 /** Tests that a stream that broke off contains no byte of another response and does not end as complete. */
 final class BrokenStreamsTest extends SilentStreamFixture {
+    /** More than an entry instance buffers of one response. */
+    private static final int LARGE_BODY_BYTES = 300 << 10;
+
     private static final String LAST_CHUNK = "0\r\n\r\n";
 
     /** Two events, then the connection is closed without the final chunk. */
@@ -41,6 +44,11 @@
         return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n" + LAST_CHUNK;
     }
 
+    /** Returns the body as the caller reads it, without the framing of the chunks. */
+    private static String body(String answer) {
+        return answer.replaceAll("(?s)^.*?\r\n\r\n", "").replaceAll("[0-9a-f]+\r\n|\r\n", "");
+    }
+
     private static void assertBrokenOffAfter(int lastId, String answer) {
         assertTrue(answer.startsWith("HTTP/1.1 200") && !answer.endsWith(LAST_CHUNK), answer);
         assertEvents(lastId, answer + LAST_CHUNK);
@@ -196,6 +204,72 @@
         }
     }
 
+    /** Responses that no other endpoint can continue, because their position is not known or they are no stream. */
+    @Nested
+    final class NotContinuable {
+        private static final String UNNUMBERED = "data: a\n\n";
+
+        private ScriptedEndpoint.Reply unnumbered() {
+            return (request, socket) -> {
+                head(request, socket);
+                text(socket, UNNUMBERED);
+                return false;
+            };
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"", "Last-Event-Id: 2\r\n"})
+        void testAStreamWithoutIdsIsNotJoinedWithAnotherRun(String header) throws Exception {
+            serveWithBothEndpoints();
+            script.add(unnumbered());
+            script.add(unnumbered());
+
+            String answer = gateway.exchange(stream(ID).replaceFirst("\r\n", "\r\n" + header));
+
+            assertEquals(UNNUMBERED, body(answer));
+            assertFalse(answer.endsWith(LAST_CHUNK), answer);
+            assertEquals(1, requests());
+        }
+
+        @Test
+        void testAStreamThatBreaksOffWithAnErrorEventIsNotContinued() throws Exception {
+            serveWithBothEndpoints();
+            script.add((request, socket) -> {
+                head(request, socket);
+                events(socket, 1, 2);
+                text(socket, "event: error\ndata: failed\n\n");
+                return false;
+            });
+            script.add((request, socket) -> {
+                head(request, socket);
+                events(socket, 3, 4);
+                return end(socket);
+            });
+
+            String answer = gateway.exchange(stream(ID));
+
+            assertTrue(body(answer).endsWith("data: e2\n\nevent: error\ndata: failed\n\n"), answer);
+            assertFalse(answer.endsWith(LAST_CHUNK), answer);
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"404 Not Found", "500 Error"})
+        void testAnErrorThatIsCutHasNoEventsOfTheNextEndpoint(String status) throws Exception {
+            serveWithBothEndpoints();
+            String large = "x".repeat(LARGE_BODY_BYTES);
+            script.add(signed(status + "\r\nContent-Length: " + (LARGE_BODY_BYTES + 32), large, false));
+            script.add((request, socket) -> {
+                head(request, socket);
+                events(socket, 1, 4);
+                return end(socket);
+            });
+
+            String answer = gateway.exchange(stream(ID));
+
+            assertTrue(answer.startsWith("HTTP/1.1 " + status) && !answer.contains("data:"), status);
+        }
+    }
+
     /** How the end of a response without a length is read. */
     @Nested
     final class EndsWithItsConnection {
