--- a/core/src/main/java/org/jasminehub/core/balance/SilentStreamPolicy.java
+++ b/core/src/main/java/org/jasminehub/core/balance/SilentStreamPolicy.java
@@ -41,13 +41,14 @@
     }
 
     /**
-     * Returns whether a second attempt can continue the stream. After events without ids, it would deliver them again.
+     * Returns whether another attempt can continue the response. After an event without an id, it would deliver that
+     * event again, or the event was an error after which the stream does not go on.
      *
-     * @param lastEventId the id of the last event that the caller has, null if there is none
-     * @param hasOutput whether the caller has any event
+     * @param isHeadSent whether the caller has the head of a response
+     * @param isPositionKnown whether the caller has a stream whose last event has an id
      */
-    public static boolean canContinue(@Nullable Long lastEventId, boolean hasOutput) {
-        return lastEventId != null || !hasOutput;
+    public static boolean canContinue(boolean isHeadSent, boolean isPositionKnown) {
+        return !isHeadSent || isPositionKnown;
     }
 
     /**
@@ -55,13 +56,13 @@
      *
      * @param lastEventId the id of the last event that the caller has, null if there is none
      * @param hasOutput whether the caller has any event
-     * @param isSecondAttempt whether an earlier attempt is still open
+     * @param isContinuation whether the attempt would continue the response of another one
      */
     public static EventDecision decide(
-            @Nullable Long eventId, @Nullable Long lastEventId, boolean hasOutput, boolean isSecondAttempt) {
+            @Nullable Long eventId, @Nullable Long lastEventId, boolean hasOutput, boolean isContinuation) {
         if (eventId == null) {
             // Without an id, nothing shows that the event follows the last one or that the caller does not have it.
-            return isSecondAttempt && hasOutput ? EventDecision.DISCARD : EventDecision.DELIVER;
+            return isContinuation && hasOutput ? EventDecision.DISCARD : EventDecision.DELIVER;
         }
         return lastEventId == null || eventId == lastEventId + 1 ? EventDecision.DELIVER : EventDecision.FAIL_ATTEMPT;
     }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallAttempts.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallAttempts.java
@@ -129,7 +129,8 @@
 
     /** Returns whether the call could be sent again if the current attempt were its only open one and failed now. */
     boolean mayRetryAfterRun() {
-        return CallRetryPolicy.mayRetry(
+        return call.delivered().canContinue()
+                && CallRetryPolicy.mayRetry(
                         call.route(), AttemptEnd.MAY_HAVE_RUN, failedRuns + 1, sends, call.remainingMillis())
                 && dispatcher.unavailability(call.service()).isEmpty()
                 && dispatcher.isAnyPermitted(call.service(), this::mayUse);
@@ -153,7 +154,6 @@
                 && !silent.isEnded()
                 && candidate == null
                 && mayRetryAfterRun()
-                && SilentStreamPolicy.canContinue(call.lastEventId(), call.hasOutput())
                 && call.answer().isWritable()
                 && !dispatcher.isStalled(call.service(), SilentStreamPolicy.STALL_THRESHOLD_MILLIS)
                 && !call.identity().isSuspected()
@@ -236,7 +236,8 @@
         }
         stopWaiting();
         current = null;
-        boolean isRetried = CallRetryPolicy.mayRetry(call.route(), end, failedRuns, sends, call.remainingMillis())
+        boolean isRetried = call.delivered().canContinue()
+                && CallRetryPolicy.mayRetry(call.route(), end, failedRuns, sends, call.remainingMillis())
                 && (!isRestricted() || dispatcher.isAnyServing(call.service(), this::mayUse))
                 && !call.identity().isSuspected()
                 && dispatcher.tryRetry(call.service());
--- a/standin/src/main/java/org/jasminehub/standin/EngineStandin.java
+++ b/standin/src/main/java/org/jasminehub/standin/EngineStandin.java
@@ -19,6 +19,7 @@
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.MediaTypes;
+import org.apache.pekko.japi.pf.PFBuilder;
 import org.apache.pekko.stream.javadsl.Source;
 import org.apache.pekko.util.ByteString;
 import org.jasminehub.platform.PlatformException;
@@ -50,6 +51,8 @@
     private final AtomicInteger cancelled = new AtomicInteger();
     private volatile int stepMillis;
     private volatile int failAfterTokens = Integer.MAX_VALUE;
+    private volatile int resumeStatus = StandinServer.STATUS_OK;
+    private volatile boolean sendsErrorEvent;
 
     /** Starts an engine on {@code port} that takes {@code stepMillis} per token; port 0 selects a free one. */
     public EngineStandin(ClassicActorSystemProvider system, int port, int stepMillis, int capacityRequests) {
@@ -84,6 +87,16 @@
         failAfterTokens = tokens;
     }
 
+    /** Makes a response that fails end with an error event, as if it were complete. */
+    public void sendErrorEvent() {
+        sendsErrorEvent = true;
+    }
+
+    /** Answers every later request for the rest of a stream with {@code status} and the text "refused". */
+    public void answerResumedRequestsWith(int status) {
+        resumeStatus = status;
+    }
+
     /** Returns the text of {@code tokens} tokens that every engine generates for {@code prompt}. */
     public static String textOf(String prompt, int tokens) {
         return IntStream.range(0, tokens).mapToObj(i -> tokenOf(prompt, i)).collect(Collectors.joining());
@@ -122,6 +135,10 @@
         started.incrementAndGet();
         String id = headerValue(request, "x-request-id", "none");
         int from = Integer.parseInt(headerValue(request, RESUME_HEADER, "0"));
+        if (from > 0 && resumeStatus != StandinServer.STATUS_OK) {
+            return CompletableFuture.completedFuture(
+                    StandinServer.status(resumeStatus).withEntity("refused"));
+        }
         if (chat.stream()) {
             return CompletableFuture.completedFuture(stream(id, chat, from));
         }
@@ -138,6 +155,11 @@
                 .map(pair -> event(toJson(
                         CompletionJson.chunk(id, chat.model(), pair.first(), from + (Long) pair.second() == last))))
                 .concat(Source.single(event("[DONE]")));
+        if (sendsErrorEvent) {
+            events = events.recover(new PFBuilder<Throwable, ByteString>()
+                    .matchAny(failure -> ByteString.fromString("event: error\ndata: {\"failed\":true}\n\n"))
+                    .build());
+        }
         return HttpResponse.create()
                 .withEntity(HttpEntities.createChunked(
                         ContentTypes.create(MediaTypes.TEXT_EVENT_STREAM), withCounters(events)));
