A test of a long stream writes chunks of the right length

PlannedStopConnectionsTest.testARequestSentAfterAStreamThatDidNotAnnounceTheCloseIsAnsweredLateInTheStop hung once for over 100 s on a machine with a load of 35. Its endpoint wrote the chunk length 13 for every event, which is one too few from the tenth event on; a slow machine gets there, the gateway cuts the stream, and the read loop appended -1 for ever. The length is computed, and a cut stream fails the test. The checks are the same otherwise.

--- a/gateway/src/test/java/org/jasminehub/gateway/PlannedStopConnectionsTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/PlannedStopConnectionsTest.java
@@ -95,7 +95,8 @@
             beginStream(request, socket, 1);
             for (int id = 2; mayEnd.isEmpty(); id++) {
                 pause(EVENT_GAP_MILLIS);
-                ScriptedEndpoint.write(socket, "d\r\nid: 0" + id + "\ndata\n\n\r\n");
+                String event = "id: " + id + "\ndata\n\n";
+                ScriptedEndpoint.write(socket, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
             }
             ScriptedEndpoint.write(socket, "0\r\n\r\n");
             return true;
@@ -110,7 +111,9 @@
             mayEnd.add(true);
             StringBuilder first = new StringBuilder();
             while (!first.toString().endsWith("0\r\n\r\n")) {
-                first.append((char) caller.getInputStream().read());
+                int next = caller.getInputStream().read();
+                assertTrue(next >= 0, "cut: " + first);
+                first.append((char) next);
             }
             assertFalse(first.toString().toLowerCase(Locale.ROOT).contains("connection: close"));
             pause(ROUND_TRIP_MILLIS);
