--- a/review/standin/Trial.java
+++ b/review/standin/Trial.java
@@ -42,12 +42,16 @@
         store.put(
                 "keyed.op",
                 "config",
-                "{\"version\":" + version + ",\"routes\":[" + String.join(",", routes)
-                        + "],\"services\":[{\"name\":\"booking\",\"health_path\":\"/health\",\"connection_limit\":100,"
-                        + "\"protocol\":\"h1\",\"tls\":false}],\"limits\":{\"header_bytes\":16384,"
-                        + "\"body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
-                        + "\"tenants\":[{\"name\":\"" + TENANT + "\",\"api_keys\":[\"" + KEY
-                        + "\"],\"priority\":1}]}");
+                "{\"version\":" + version + ",\"routes\":[" + String.join(",", routes) + "],\"services\":["
+                        + service("booking") + "," + service("herd")
+                        + "],\"limits\":{\"header_bytes\":16384,\"body_bytes\":4194304,"
+                        + "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},\"tenants\":[{\"name\":\"" + TENANT
+                        + "\",\"api_keys\":[\"" + KEY + "\"],\"priority\":1}]}");
+    }
+
+    private static String service(String name) {
+        return "{\"name\":\"" + name + "\",\"health_path\":\"/health\",\"connection_limit\":100,"
+                + "\"protocol\":\"h1\",\"tls\":false}";
     }
 
     /** Starts entry instances, each with an address of the store of its own; exits if one does not get ready. */
