--- a/review/1/EndlessNewlines.java
+++ b/review/1/EndlessNewlines.java
@@ -20,6 +20,11 @@
     private static final int BOOKING_CLIENTS = 30;
     private static final int STREAM_CLIENTS = 6;
     private static final int EVENTS = 24;
+
+    /** At most 14 Mbit/s, the link of a model server's machine. */
+    private static final int PIECE_BYTES = 17_500;
+
+    private static final int PIECE_PAUSE_MILLIS = 10;
     private static final long TROUBLE_AT_MILLIS = 3_000;
     private static final long LENGTH_MILLIS = 16_000;
 
@@ -121,12 +126,13 @@
     private static void sendNewlines(Socket socket, String head, AtomicLong sent) throws Exception {
         OutputStream out = socket.getOutputStream();
         out.write((head + "Content-Type: text/event-stream\r\n\r\n").getBytes(StandardCharsets.UTF_8));
-        byte[] newlines = new byte[65_536];
+        byte[] newlines = new byte[PIECE_BYTES];
         Arrays.fill(newlines, (byte) '\n');
         try {
             while (true) {
                 out.write(newlines);
                 sent.addAndGet(newlines.length);
+                Thread.sleep(PIECE_PAUSE_MILLIS);
             }
         } catch (java.io.IOException e) {
             // The caller has closed the channel.
