--- a/review/standin/Trial.java
+++ b/review/standin/Trial.java
@@ -54,8 +54,9 @@
                 + "\"protocol\":\"h1\",\"tls\":false}";
     }
 
-    /** Starts entry instances, each with an address of the store of its own; exits if one does not get ready. */
+    /** Starts entry instances; exits if one does not get ready. */
     List<EntryProcess> startEntries(int count) throws Exception {
+        String storeAddress = store.open();
         String seeds = "\"" + network + "1:8229\"";
         for (int number = 1; number <= count; number++) {
             entries.add(EntryProcess.start(
@@ -64,7 +65,7 @@
                     "front-a-" + number,
                     network + number,
                     seeds,
-                    store.open().toString()));
+                    storeAddress));
         }
         for (EntryProcess entry : entries) {
             if (!entry.awaitReady(30_000)) {
