--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -14,13 +14,44 @@
 import java.util.List;
 import java.util.Map;
 
-/** Stand-in of the platform's store: keyed logs over HTTP. */
+/** Stand-in of the platform's store: keyed logs over HTTP, with a drill. */
 final class Store {
     record Entry(String key, byte[] value) {}
 
     private final Map<String, List<Entry>> logs = new HashMap<>();
+    private Map<String, List<Entry>> copy = Map.of();
+    private long era = 1;
+    private boolean isAway;
 
+    /** Takes the copy from which the store comes back after a drill. */
+    synchronized void takeCopy() {
+        copy = new HashMap<>();
+        logs.forEach((topic, log) -> copy.put(topic, new ArrayList<>(log)));
+    }
+
+    /** Closes all channels without an answer until {@link #comeBack}. */
+    synchronized void goAway() {
+        isAway = true;
+        notifyAll();
+    }
+
+    /** Serves again, from the copy and in the next era; offsets after those of the copy are assigned again. */
+    synchronized void comeBack() {
+        logs.clear();
+        copy.forEach((topic, log) -> logs.put(topic, new ArrayList<>(log)));
+        era++;
+        isAway = false;
+    }
+
+    private synchronized boolean isAway() {
+        return isAway;
+    }
+
+    /** Appends a record, unless the store is away. */
     synchronized void put(String topic, String key, String value) {
+        if (isAway) {
+            return;
+        }
         logs.computeIfAbsent(topic, name -> new ArrayList<>())
                 .add(new Entry(key, value.getBytes(StandardCharsets.UTF_8)));
         notifyAll();
@@ -45,6 +76,9 @@
             OutputStream out = socket.getOutputStream();
             Net.Message request;
             while ((request = Net.readMessage(in, true)) != null) {
+                if (isAway()) {
+                    return;
+                }
                 String target = request.startLine().split(" ")[1];
                 Map<String, String> query = Net.query(target);
                 String topic = query.getOrDefault("topic", "");
@@ -56,7 +90,13 @@
                 } else if (target.startsWith("/log-read")) {
                     int from = Integer.parseInt(query.get("from"));
                     long waitMillis = Long.parseLong(query.getOrDefault("wait_ms", "0"));
-                    respond(out, 200, "application/octet-stream", read(topic, from, waitMillis));
+                    byte[] slice = read(topic, from, waitMillis);
+                    String type = slice == null ? "application/json" : "application/octet-stream";
+                    byte[] body = slice == null ? "{\"first\":0}".getBytes(StandardCharsets.UTF_8) : slice;
+                    if (isAway()) {
+                        return;
+                    }
+                    respond(out, slice == null ? 410 : 200, type, body);
                 } else {
                     respond(out, 404, "application/json", "{}".getBytes(StandardCharsets.UTF_8));
                 }
@@ -64,10 +104,15 @@
         }
     }
 
-    private static void respond(OutputStream out, int status, String type, byte[] body) throws IOException {
+    private synchronized long era() {
+        return era;
+    }
+
+    private void respond(OutputStream out, int status, String type, byte[] body) throws IOException {
         Net.write(
                 out,
-                "HTTP/1.1 " + status + " Status\r\nContent-Type: " + type + "\r\nStore-Era: 1\r\nContent-Length: "
+                "HTTP/1.1 " + status + " Status\r\nContent-Type: " + type + "\r\nStore-Era: " + era()
+                        + "\r\nContent-Length: "
                         + body.length + "\r\n\r\n",
                 body);
     }
@@ -108,9 +153,12 @@
     private synchronized byte[] read(String topic, int from, long waitMillis) throws InterruptedException {
         List<Entry> log = logs.computeIfAbsent(topic, name -> new ArrayList<>());
         long endNanos = System.nanoTime() + waitMillis * 1_000_000;
-        while (log.size() <= from && System.nanoTime() < endNanos) {
+        while (log.size() <= from && System.nanoTime() < endNanos && !isAway) {
             wait(Math.max(1, Math.min(20, (endNanos - System.nanoTime()) / 1_000_000)));
         }
+        if (from > log.size()) {
+            return null;
+        }
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         out.writeBytes(
                 ByteBuffer.allocate(16).putLong(log.size()).putLong(0).array());
--- a/review/standin/Trial.java
+++ b/review/standin/Trial.java
@@ -20,6 +20,7 @@
     private final Path directory;
     private final List<EntryProcess> entries = new ArrayList<>();
     private final String network;
+    private String storeAddress = "";
 
     /** Creates a trial that records into {@code folder}. */
     Trial(Path folder) throws IOException {
@@ -39,6 +40,11 @@
     }
 
     void putConfig(int version, String... routes) {
+        putConfig(version, "\"" + KEY + "\"", routes);
+    }
+
+    /** Writes a config; {@code keys} is a list of quoted keys. */
+    void putConfig(int version, String keys, String[] routes) {
         store.put(
                 "keyed.op",
                 "config",
@@ -46,7 +52,7 @@
                         + service("booking") + "," + service("herd")
                         + "],\"limits\":{\"header_bytes\":16384,\"body_bytes\":4194304,"
                         + "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},\"tenants\":[{\"name\":\"" + TENANT
-                        + "\",\"api_keys\":[\"" + KEY + "\"],\"priority\":1}]}");
+                        + "\",\"api_keys\":[" + keys + "],\"priority\":1}]}");
     }
 
     private static String service(String name) {
@@ -56,16 +62,9 @@
 
     /** Starts entry instances; exits if one does not get ready. */
     List<EntryProcess> startEntries(int count) throws Exception {
-        String storeAddress = store.open();
-        String seeds = "\"" + network + "1:8229\"";
+        storeAddress = store.open();
         for (int number = 1; number <= count; number++) {
-            entries.add(EntryProcess.start(
-                    Path.of("").toAbsolutePath(),
-                    directory,
-                    "front-a-" + number,
-                    network + number,
-                    seeds,
-                    storeAddress));
+            entries.add(start(number));
         }
         for (EntryProcess entry : entries) {
             if (!entry.awaitReady(30_000)) {
@@ -80,6 +79,19 @@
         return entries;
     }
 
+    private EntryProcess start(int number) throws IOException {
+        String seeds = "\"" + network + "1:8229\"";
+        return EntryProcess.start(
+                Path.of("").toAbsolutePath(), directory, "front-a-" + number, network + number, seeds, storeAddress);
+    }
+
+    /** Starts the killed instance {@code number} again, with the same settings. */
+    EntryProcess restart(int number) throws IOException {
+        EntryProcess started = start(number);
+        entries.set(number - 1, started);
+        return started;
+    }
+
     /** Ends all processes and the script. */
     void end(int code) throws InterruptedException, IOException {
         for (EntryProcess entry : entries) {
