One read from a peer causes a bounded amount of work

Cause: the endpoint determines what its bytes cost, and nothing bounded the cost of one read. The event loop read up to 16 times 64 KiB from one connection before it served another one, and did per event and per chunk what is needed once per read: a write and a flush to the caller, a timer, a copy. A blank line without an event counted as an event of one byte, which also kept the limit on the size of an event from applying.

Ruled out: line ends as the cause. A limit on events per second would cut sound streams and leave the chunks. Heads, chunk extensions and trailers have limits of their own.

Change: - BoundedReads: one connection is read once, with at most 8 KiB, before the loop serves the others.

Why this works: the wait of a connection is at most one read of each other one, and the work of a read is proportional to its 8 KiB, whatever they are.

--- a/core/src/main/java/org/jasminehub/core/stream/EventSplitter.java
+++ b/core/src/main/java/org/jasminehub/core/stream/EventSplitter.java
@@ -15,10 +15,11 @@
  * }
  * }</pre>
  *
- * <p>Not thread-safe.
+ * <p>A blank line without a line before it ends no event, as the format defines; it becomes part of the next event. The
+ * limit on the size of an event therefore also applies to blank lines. Not thread-safe.
  */
 public final class EventSplitter {
-    private static final String ID_FIELD = "id:";
+    private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.UTF_8);
 
     private static final int INITIAL_BUFFER_BYTES = 256;
 
@@ -30,6 +31,9 @@
 
     private int eventLength;
     private int lineStart;
+    private boolean isLineBlank = true;
+    private boolean hasComment;
+    private boolean hasField;
     private @Nullable Long id;
 
     /** Returns whether the current event is larger than any valid one, because its end may never be sent. */
@@ -42,28 +46,60 @@
         List<StreamEvent> completed = new ArrayList<>();
         for (byte value : bytes) {
             append(value);
-            if (value != '\n') {
-                continue;
-            }
-            String line =
-                    new String(buffer, lineStart, eventLength - lineStart, StandardCharsets.UTF_8).stripTrailing();
-            lineStart = eventLength;
-            if (line.startsWith(ID_FIELD)) {
-                id = parseId(line.substring(ID_FIELD.length()).trim());
-            }
-            if (line.isEmpty()) {
-                completed.add(new StreamEvent(id, Arrays.copyOf(buffer, eventLength)));
-                eventLength = 0;
-                lineStart = 0;
-                id = null;
+            if (value == '\n') {
+                onLine(completed);
+            } else if (!Character.isWhitespace(value)) {
+                isLineBlank = false;
             }
         }
         return completed;
     }
 
+    private void onLine(List<StreamEvent> completed) {
+        if (!isLineBlank) {
+            readLine();
+            lineStart = eventLength;
+            isLineBlank = true;
+            return;
+        }
+        lineStart = eventLength;
+        if (hasComment || hasField) {
+            completed.add(new StreamEvent(id, !hasField, takeBytes()));
+            hasComment = false;
+            hasField = false;
+            id = null;
+        }
+    }
+
+    private void readLine() {
+        if (buffer[lineStart] == ':') {
+            hasComment = true;
+            return;
+        }
+        hasField = true;
+        int valueStart = lineStart + ID_FIELD.length;
+        boolean isId =
+                valueStart <= eventLength && Arrays.equals(buffer, lineStart, valueStart, ID_FIELD, 0, ID_FIELD.length);
+        if (isId) {
+            id = parseId(new String(buffer, valueStart, eventLength - valueStart, StandardCharsets.UTF_8).trim());
+        }
+    }
+
     /** Returns whether part of an event was received but not its end. */
     public boolean hasPartialEvent() {
-        return eventLength > 0;
+        return hasComment || hasField || !isLineBlank;
+    }
+
+    /** Returns and removes the blank lines that were received after the last event. */
+    public byte[] takeBlankLines() {
+        return hasPartialEvent() ? new byte[0] : takeBytes();
+    }
+
+    private byte[] takeBytes() {
+        byte[] taken = Arrays.copyOf(buffer, eventLength);
+        eventLength = 0;
+        lineStart = 0;
+        return taken;
     }
 
     private void append(byte value) {
--- a/core/src/test/java/org/jasminehub/core/stream/EventSplitterTest.java
+++ b/core/src/test/java/org/jasminehub/core/stream/EventSplitterTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 final class EventSplitterTest {
@@ -39,4 +40,57 @@
                 .isEmpty());
         assertTrue(splitter.hasPartialEvent());
     }
+
+    /** Blank lines outside an event; each of them counted as an event of its own. */
+    @Nested
+    final class BlankLines {
+        private static final int LARGE_BYTES = 512 << 10;
+
+        private final EventSplitter splitter = new EventSplitter();
+
+        private List<String> take(String text) {
+            return splitter.take(text.getBytes(StandardCharsets.UTF_8)).stream()
+                    .map(event -> new String(event.bytes(), StandardCharsets.UTF_8))
+                    .toList();
+        }
+
+        @Test
+        void testBlankLinesBetweenEventsArePartOfTheNextOne() {
+            assertEquals(List.of("id: 1\n\n", "\n\r\nid: 2\n\n"), take("id: 1\n\n\n\r\nid: 2\n\n"));
+        }
+
+        @Test
+        void testAnIdBehindBlankLinesIsRead() {
+            assertEquals(
+                    7,
+                    splitter.take("\n\nid: 7\n\n".getBytes(StandardCharsets.UTF_8))
+                            .get(0)
+                            .id());
+        }
+
+        @Test
+        void testBlankLinesAtTheEndAreNoPartialEvent() {
+            take("id: 1\n\n\n\n");
+
+            assertFalse(splitter.hasPartialEvent());
+            assertEquals("\n\n", new String(splitter.takeBlankLines(), StandardCharsets.UTF_8));
+        }
+
+        @Test
+        void testBlankLinesWithoutEndAreNoEventsAndExceedTheLimit() {
+            assertEquals(List.of(), take("\n".repeat(LARGE_BYTES)));
+
+            assertTrue(splitter.isEventTooLarge());
+        }
+    }
+
+    @Test
+    void testOnlyEventsWithoutFieldsAreComments() {
+        List<StreamEvent> events =
+                new EventSplitter().take(": a\n: b\n\n: c\ndata: d\n\ndata: e\n\n".getBytes(StandardCharsets.UTF_8));
+
+        assertEquals(
+                List.of(true, false, false),
+                events.stream().map(StreamEvent::isComment).toList());
+    }
 }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
@@ -198,14 +198,15 @@
         });
     }
 
-    /** Called for each stream event that has been relayed. */
-    void onProgress() {
+    /** Called when {@code relayedEvents} stream events, which arrived together, have been relayed. */
+    void onProgress(int relayedEvents) {
         long nowMillis = call.dispatcher().clock().monotonicMillis();
         call.dispatcher().onProgress(call.service(), endpoint, lastEventMillis < 0 ? -1 : nowMillis - lastEventMillis);
         lastEventMillis = nowMillis;
         call.onOutput();
-        events++;
-        if (events == EVENTS_OF_SOUND_PROMPT) {
+        boolean wasSound = events >= EVENTS_OF_SOUND_PROMPT;
+        events += relayedEvents;
+        if (!wasSound && events >= EVENTS_OF_SOUND_PROMPT) {
             call.identity().onOutput();
         }
         if (call.route().mayRetry()) {
--- a/gateway/src/main/java/org/jasminehub/gateway/call/StreamRelay.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/StreamRelay.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.io.ByteArrayOutputStream;
 import org.jasminehub.core.balance.AttemptEnd;
 import org.jasminehub.core.balance.SilentStreamPolicy;
 import org.jasminehub.core.balance.SilentStreamPolicy.EventDecision;
@@ -12,7 +13,6 @@
 import org.jasminehub.gateway.net.CallerResponse;
 import org.jasminehub.platform.hosted.ResponseHeaders;
 import org.jasminehub.platform.hosted.ResponseHeadersAdapter;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Relays the complete events of a stream as they arrive, each event id once and in order. If the stream is interrupted
@@ -59,30 +59,49 @@
         }
     }
 
+    /** Called before the first of the events that are delivered together. */
+    private void onDelivery() {
+        hasDelivered = true;
+        call.attempts().onDelivery(attempt);
+        sendHead();
+    }
+
+    private void deliver(ByteArrayOutputStream delivered, int events) {
+        if (events > 0) {
+            call.answer().part(delivered.toByteArray());
+            attempt.onProgress(events);
+        }
+    }
+
     @Override
     public void part(byte[] bytes) {
+        // One write for all events of a read: the endpoint determines how many they are.
+        ByteArrayOutputStream delivered = new ByteArrayOutputStream(bytes.length);
+        int events = 0;
         for (StreamEvent event : splitter.take(bytes)) {
-            @Nullable Long id = event.id();
             EventDecision decision =
-                    SilentStreamPolicy.decide(id, call.lastEventId(), call.hasOutput(), isContinuation());
+                    SilentStreamPolicy.decide(event.id(), call.lastEventId(), call.hasOutput(), isContinuation());
             if (decision == EventDecision.FAIL_ATTEMPT) {
-                attempt.fail(AttemptEnd.MAY_HAVE_RUN, "event " + id + " received after event " + call.lastEventId());
+                deliver(delivered, events);
+                attempt.fail(
+                        AttemptEnd.MAY_HAVE_RUN, "event " + event.id() + " received after event " + call.lastEventId());
                 return;
             }
             if (decision == EventDecision.DISCARD) {
                 hasDiscardedContent |= !event.isComment();
                 continue;
             }
-            hasDelivered = true;
-            call.attempts().onDelivery(attempt);
-            sendHead();
-            call.answer().part(event.bytes());
+            if (events == 0) {
+                onDelivery();
+            }
+            delivered.writeBytes(event.bytes());
             call.delivered().onEvent(event);
-            if (id != null) {
-                call.onEventDelivered(id);
+            if (event.id() != null) {
+                call.onEventDelivered(event.id());
             }
-            attempt.onProgress();
+            events++;
         }
+        deliver(delivered, events);
         if (splitter.isEventTooLarge()) {
             attempt.fail(AttemptEnd.MAY_HAVE_RUN, "event is too large");
         } else if (!call.answer().isWritable()) {
@@ -106,6 +125,10 @@
             return;
         }
         sendHead();
+        byte[] blankLines = splitter.takeBlankLines();
+        if (blankLines.length > 0) {
+            call.answer().part(blankLines);
+        }
         attempt.succeed(status.code());
         call.answer().end();
     }
--- a/gateway/src/main/java/org/jasminehub/gateway/net/CallerServer.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/CallerServer.java
@@ -44,7 +44,7 @@
             BiConsumer<Integer, String> onMalformed) {
         this.handler = handler;
         this.onMalformed = onMalformed;
-        ChannelFuture binding = new ServerBootstrap()
+        ChannelFuture binding = BoundedReads.applyTo(new ServerBootstrap())
                 .group(loop, loop)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
--- a/gateway/src/main/java/org/jasminehub/gateway/net/EndpointClient.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/EndpointClient.java
@@ -56,7 +56,7 @@
     public EndpointClient(EventLoop loop, Clock clock) {
         this.loop = loop;
         this.clock = clock;
-        this.bootstrap = new Bootstrap()
+        this.bootstrap = BoundedReads.applyTo(new Bootstrap())
                 .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
--- a/gateway/src/main/java/org/jasminehub/gateway/net/EndpointConnection.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/EndpointConnection.java
@@ -1,6 +1,8 @@
 package org.jasminehub.gateway.net;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -24,11 +26,18 @@
  * that is received outside an exchange closes the connection.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
+    /** A response has at most a few interim responses before it; an endpoint may also send them without end. */
+    private static final int MAX_INTERIM_RESPONSES = 32;
+
     private final StrictResponseDecoder decoder;
     private final Consumer<EndpointConnection> onReusable;
     private @Nullable Channel channel;
     private @Nullable ResponseSink sink;
     private ExchangeMonitor monitor = ExchangeMonitor.NONE;
+    /** The body bytes of the current read, so that the sink gets one part however many chunks the read contains. */
+    private ByteBuf body = Unpooled.EMPTY_BUFFER;
+
+    private int interimResponses;
     private long exchanges;
     private boolean isRequestWritten;
     private boolean isHeadSeen;
@@ -78,6 +87,7 @@
         sink = responseSink;
         monitor = exchangeMonitor;
         exchanges++;
+        interimResponses = 0;
         isRequestWritten = false;
         isHeadSeen = false;
         isReusable = false;
@@ -125,7 +135,7 @@
                 context.close();
                 return;
             }
-            if (object.decoderResult().isFailure()) {
+            if (object.decoderResult().isFailure() || interimResponses > MAX_INTERIM_RESPONSES) {
                 isBroken = true;
                 fail(ExchangeFailure.MALFORMED);
                 context.close();
@@ -144,7 +154,11 @@
 
     private void onHead(HttpResponse response) {
         ResponseSink receiver = sink;
-        if (receiver == null || response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+        if (receiver == null) {
+            return;
+        }
+        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            interimResponses++;
             return;
         }
         isHeadSeen = true;
@@ -162,10 +176,15 @@
         if (receiver == null || !isHeadSeen) {
             return;
         }
-        if (content.content().isReadable()) {
-            receiver.onBody(ByteBufUtil.getBytes(content.content()));
+        if (!body.isReadable()) {
+            body = Unpooled.buffer(content.content().readableBytes());
         }
-        if (content instanceof LastHttpContent && sink == receiver && !isBroken) {
+        body.writeBytes(content.content());
+        if (!(content instanceof LastHttpContent)) {
+            return;
+        }
+        deliverBody();
+        if (sink == receiver && !isBroken) {
             isAwaitingRelease = true;
             receiver.onEnd();
             if (!isReusable) {
@@ -174,8 +193,17 @@
         }
     }
 
+    private void deliverBody() {
+        ByteBuf part = body;
+        body = Unpooled.EMPTY_BUFFER;
+        if (part.isReadable() && sink != null) {
+            sink.onBody(ByteBufUtil.getBytes(part, part.readerIndex(), part.readableBytes(), false));
+        }
+    }
+
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
+        deliverBody();
         if (!isAwaitingRelease) {
             return;
         }
@@ -209,6 +237,7 @@
     }
 
     private void fail(ExchangeFailure failure) {
+        deliverBody();
         ResponseSink receiver = sink;
         sink = null;
         if (receiver != null) {
--- a/gateway/src/main/java/org/jasminehub/gateway/net/ResponseSink.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/ResponseSink.java
@@ -13,7 +13,7 @@
     /** Called with the status and the headers. */
     void onHead(HttpResponseStatus status, HttpHeaders headers);
 
-    /** Called with each part of the body. */
+    /** Called with each part of the body, once for each read from the connection. */
     void onBody(byte[] part);
 
     /** Called when the response is complete. */
--- a/gateway/src/main/java/org/jasminehub/gateway/peer/PeerLink.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/peer/PeerLink.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.util.concurrent.TimeUnit;
+import org.jasminehub.gateway.net.BoundedReads;
 import org.jasminehub.gateway.net.EndpointAddress;
 import org.jasminehub.wire.generated.PeerEnvelope;
 import org.jspecify.annotations.Nullable;
@@ -65,7 +66,7 @@
         if (isClosed) {
             return;
         }
-        new Bootstrap()
+        BoundedReads.applyTo(new Bootstrap())
                 .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
--- a/gateway/src/main/java/org/jasminehub/gateway/peer/PeerServer.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/peer/PeerServer.java
@@ -8,6 +8,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
+import org.jasminehub.gateway.net.BoundedReads;
 import org.jasminehub.gateway.net.EndpointAddress;
 import org.jasminehub.platform.PlatformException;
 
@@ -25,7 +26,7 @@
      * @throws PlatformException if the address cannot be bound
      */
     public static PeerServer start(EventLoop loop, EndpointAddress address, PeerListener listener) {
-        ChannelFuture binding = new ServerBootstrap()
+        ChannelFuture binding = BoundedReads.applyTo(new ServerBootstrap())
                 .group(loop, loop)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
--- a/gateway/src/test/java/org/jasminehub/gateway/EndlessBytesTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/EndlessBytesTest.java
@@ -119,6 +119,25 @@
             awaitClosedEarly();
         }
 
+        @Test
+        void testBlankLinesWithoutEndAreNoStreamAndAnotherEndpointServesTheCall() throws Exception {
+            serveWithBothEndpoints();
+            script.add(endless(
+                    "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: s\r\n"
+                            + "Content-Type: text/event-stream\r\n\r\n",
+                    "\n"));
+            script.add((request, socket) -> {
+                SilentStreamFixture.head(request, socket);
+                SilentStreamFixture.events(socket, 1, 2);
+                return SilentStreamFixture.end(socket);
+            });
+
+            String answer = gateway.exchange(stream("r-1"));
+
+            assertTrue(answer.contains("data: e2\n\n") && answer.endsWith("0\r\n\r\n"), answer);
+            assertTrue(accepted.get() < MAX_ACCEPTED_BYTES, accepted + " bytes accepted");
+        }
+
         @Test
         void testBodyWithoutEndWaitsForACallerThatDoesNotRead() throws Exception {
             serveWithOneEndpoint();
