A response that promises "not run" reaches a caller only with proof

Cause: which responses may be relayed was decided in several places. Only the one for complete server errors knew of the promise, and only of that of 503. A body beyond the buffer limit was relayed before that place was reached, and 4xx never reached it.

Ruled out: the stated proof (X-Not-Executed, or status 421) is read correctly for all framings; refusals with large bodies were never relayed. Refusals of this instance itself: all are 503, and a 503 after a run becomes 502; that check now covers the other three statuses as well.

Change: ResponsePolicy decides from the head alone, before anything is sent and whatever the size and framing of the body. 408, 421, 429 and 503 are never relayed: with proof the call counts as not run, without it the attempt failed, as with 500: the call is retried where its route allows, else the caller gets 502. WithheldRelay discards such a body. Two more heads are no valid responses now: a success that states "not run", and a status outside 200 to 599 (0 and 999 were relayed).

Why this works: a relay exists only for responses without a promise, so no later state can send one.

An endpoint that fails in this way is now also avoided like one that answers 500; before, such responses counted as served.

--- a/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
@@ -13,6 +13,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.concurrent.ScheduledFuture;
 import org.jasminehub.core.balance.AttemptEnd;
+import org.jasminehub.core.balance.ResponsePolicy;
+import org.jasminehub.core.balance.ResponsePolicy.Decision;
 import org.jasminehub.core.balance.SilentStreamPolicy;
 import org.jasminehub.core.serving.CallKind;
 import org.jasminehub.core.serving.EndpointRecord;
@@ -221,20 +223,25 @@
             call.dispatcher().client().setIdleLimit(address(), parsedHeaders.keepAliveMillis());
         }
         boolean isForOtherRequest = !belongsToCall(parsedHeaders.requestId());
-        boolean isSuccess = status.codeClass() == HttpStatusClass.SUCCESS;
-        if (isForOtherRequest
-                || (isSuccess && !parsedHeaders.isSigned())
-                || headers.contains(HttpHeaderNames.CONTENT_ENCODING)) {
+        Decision decision = ResponsePolicy.decide(status.code(), parsedHeaders.isSigned(), parsedHeaders.isNotRun());
+        if (isForOtherRequest || decision == Decision.INVALID || headers.contains(HttpHeaderNames.CONTENT_ENCODING)) {
             fail(AttemptEnd.MAY_HAVE_RUN, isForOtherRequest ? "an answer to another request" : "no valid answer");
             return;
         }
-        boolean isStream = isSuccess && call.route().kind() == CallKind.STREAMING;
+        boolean isStream =
+                status.codeClass() == HttpStatusClass.SUCCESS && call.route().kind() == CallKind.STREAMING;
         if (!isStream && (call.isHeadSent() || call.attempts().isCandidate(this))) {
             fail(parsedHeaders.isNotRun() ? AttemptEnd.NOT_RUN : AttemptEnd.MAY_HAVE_RUN, "status " + status.code());
             return;
         }
-        relay = isStream ? new StreamRelay(call, this) : new BufferedRelay(call, this);
-        relay.begin(status, headers, parsedHeaders);
+        relay = isStream ? new StreamRelay(call, this) : relayFor(decision);
+        relay.begin(status, headers);
+    }
+
+    private ResponseRelay relayFor(Decision decision) {
+        return decision == Decision.RELAY || decision == Decision.RETRY_OR_RELAY
+                ? new BufferedRelay(call, this)
+                : new WithheldRelay(this, decision);
     }
 
     /**
--- a/gateway/src/main/java/org/jasminehub/gateway/call/BufferedRelay.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/BufferedRelay.java
@@ -7,13 +7,12 @@
 import java.io.ByteArrayOutputStream;
 import org.jasminehub.core.balance.AttemptEnd;
 import org.jasminehub.gateway.net.CallerResponse;
-import org.jasminehub.platform.hosted.ResponseHeaders;
 import org.jasminehub.platform.hosted.ResponseHeadersAdapter;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Buffers a response and delivers it once it is complete, so that the call can be retried if the response is truncated.
- * A response that exceeds the buffer limit is relayed as it arrives.
+ * Buffers a response and delivers it once it is complete, so that the call can be retried if the response is truncated
+ * or a server error. A response that exceeds the buffer limit is relayed as it arrives.
  */
 final class BufferedRelay implements ResponseRelay {
     /** Limits the memory used per response; typical responses are far smaller. */
@@ -24,7 +23,6 @@
     private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
     private HttpResponseStatus status = HttpResponseStatus.OK;
     private @Nullable HttpHeaders headers;
-    private boolean isNotRun;
     private long contentLength = CallerResponse.UNKNOWN_LENGTH;
 
     BufferedRelay(RunningCall call, Attempt attempt) {
@@ -33,9 +31,8 @@
     }
 
     @Override
-    public void begin(HttpResponseStatus responseStatus, HttpHeaders responseHeaders, ResponseHeaders parsedHeaders) {
+    public void begin(HttpResponseStatus responseStatus, HttpHeaders responseHeaders) {
         status = responseStatus;
-        isNotRun = parsedHeaders.isNotRun();
         headers = ResponseHeadersAdapter.forCaller(responseHeaders);
         contentLength = responseHeaders.contains(HttpHeaderNames.CONTENT_LENGTH)
                 ? Long.parseLong(responseHeaders.get(HttpHeaderNames.CONTENT_LENGTH))
@@ -48,13 +45,8 @@
             call.answer().part(bytes);
             return;
         }
-        if (isNotRun && buffer.size() + bytes.length > MAX_BUFFERED_BYTES) {
-            // The head already states that the call did not run; the rest of the body may have no end.
-            end();
-            return;
-        }
         buffer.writeBytes(bytes);
-        if (buffer.size() > MAX_BUFFERED_BYTES && headers != null && !isNotRun) {
+        if (buffer.size() > MAX_BUFFERED_BYTES && headers != null) {
             call.attempts().onDelivery(attempt);
             call.answer().begin(status, headers, contentLength);
             call.delivered().onOtherHead();
@@ -66,12 +58,7 @@
 
     @Override
     public void end() {
-        if (isNotRun) {
-            boolean isMisdirected = status.code() == HttpResponseStatus.MISDIRECTED_REQUEST.code();
-            attempt.fail(
-                    isMisdirected ? AttemptEnd.MISDIRECTED : AttemptEnd.NOT_RUN,
-                    "refused with status " + status.code());
-        } else if (status.codeClass() == HttpStatusClass.SERVER_ERROR && !call.isHeadSent()) {
+        if (status.codeClass() == HttpStatusClass.SERVER_ERROR && !call.isHeadSent()) {
             attempt.fail(AttemptEnd.FAILED, "failed with status " + status.code(), this::deliverServerError);
         } else {
             deliverServed();
@@ -95,12 +82,6 @@
         if (responseHeaders == null) {
             return;
         }
-        boolean isUnavailable = status.code() == HttpResponseStatus.SERVICE_UNAVAILABLE.code();
-        if (isUnavailable) {
-            // Callers read 503 as "not run", but the endpoint did not state that.
-            call.respondWithFailure(AttemptEnd.FAILED, "failed with status " + status.code());
-            return;
-        }
         call.onServed(status.code());
         call.answer().complete(status, responseHeaders, buffer.toByteArray());
     }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
@@ -1,11 +1,11 @@
 package org.jasminehub.gateway.call;
 
-import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import org.jasminehub.core.balance.AttemptEnd;
 import org.jasminehub.core.balance.CallQueuePolicy;
+import org.jasminehub.core.balance.ResponsePolicy;
 import org.jasminehub.core.error.ErrorCode;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.serving.EndpointRecord;
@@ -271,8 +271,7 @@
         }
         boolean mayHaveRun = attempts.mayHaveRun();
         Refusal response = refusal;
-        if (mayHaveRun && refusal.status() == HttpResponseStatus.SERVICE_UNAVAILABLE.code()) {
-            // Callers read 503 as "not run", which is not certain here.
+        if (mayHaveRun && ResponsePolicy.promisesNotRun(refusal.status())) {
             response = Refusal.of(ErrorCode.ENDPOINT_FAILED, refusal.reason());
         }
         if (!mayHaveRun && refusal.code() == ErrorCode.DEADLINE_EXCEEDED) {
--- a/gateway/src/main/java/org/jasminehub/gateway/call/StreamRelay.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/StreamRelay.java
@@ -11,7 +11,6 @@
 import org.jasminehub.core.stream.EventSplitter;
 import org.jasminehub.core.stream.StreamEvent;
 import org.jasminehub.gateway.net.CallerResponse;
-import org.jasminehub.platform.hosted.ResponseHeaders;
 import org.jasminehub.platform.hosted.ResponseHeadersAdapter;
 
 /**
@@ -34,7 +33,7 @@
     }
 
     @Override
-    public void begin(HttpResponseStatus responseStatus, HttpHeaders responseHeaders, ResponseHeaders parsedHeaders) {
+    public void begin(HttpResponseStatus responseStatus, HttpHeaders responseHeaders) {
         status = responseStatus;
         headers = responseHeaders;
         if (!call.delivered().isContinuedBy(status, headers)) {
