An entry instance fails a buffered response that has no end

Another operator's report: a faulty server sent bytes without end, the instance that had called it kept them all and ran out of memory.

Can it happen here? Yes, in the project's own entry instance (module entry). It buffers every response that is not a stream, without a limit, until the deadline of the call: 268 MB of 268 MB offered were accepted within 3.9 s (FaultyEngineTest, entry instance, agent and a raw engine over sockets). Each small chunk was also kept as an object of its own.

Cause: chunks are sent only against credit, but the buffer grants credit for each chunk that it keeps, so the credit bounds nothing there.

Change: a response of more than 8 MiB fails the call (502, outcome unknown) and cancels the attempt, which closes the engine's connection. The bytes are kept in one array.

Not affected: streams, which are relayed as the caller reads; results of bookings, which agents read with Pekko's limit of 8 MiB; heads and bytes that are no response, which Pekko's parser ends (tests). The gateway bounds all of these (EndlessBytesTest).

Also tested, for the report of a head that breaks off: 5 framings, each position of the head, with and without a stream: never a success.

Tests before: the two tests of a body without end fail (in the second, of 4-byte chunks at that time, the call ended at its deadline after 60 s). After: all pass.

--- a/entry/src/main/java/org/jasminehub/entry/relay/RelayHandler.java
+++ b/entry/src/main/java/org/jasminehub/entry/relay/RelayHandler.java
@@ -1,13 +1,18 @@
 package org.jasminehub.entry.relay;
 
+import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.apache.pekko.NotUsed;
 import org.apache.pekko.actor.Cancellable;
 import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.stream.StreamLimitReachedException;
 import org.apache.pekko.stream.javadsl.Source;
 import org.apache.pekko.util.ByteString;
+import org.jasminehub.core.error.ErrorCode;
+import org.jasminehub.core.error.Outcome;
+import org.jasminehub.core.error.RequestException;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.FailureDomain;
 import org.jasminehub.core.retry.RetryBudgets;
@@ -29,6 +34,9 @@
  */
 public final class RelayHandler implements RequestHandler {
     private static final int FIRST_ERROR_STATUS = 400;
+    /** Far more than usual responses; a faulty endpoint may send bytes without end. */
+    private static final int MAX_BUFFERED_BYTES = 8 << 20;
+
     private static final int RETRY_RESERVE = 10;
     private static final int MAX_RETRY_BUDGETS = 10_000;
 
@@ -73,10 +81,28 @@
             return CompletableFuture.completedFuture(new CallerResponse.Streamed(
                     head.getStatus(), contentTypeOf(head), EventStreams.toEventStream(chunks)));
         }
-        return chunks.runFold(ByteString.emptyByteString(), ByteString::concat, system)
+        return buffer(chunks)
                 .thenApply(body -> new CallerResponse.Complete(head.getStatus(), contentTypeOf(head), body));
     }
 
+    private CompletionStage<ByteString> buffer(Source<ByteString, NotUsed> chunks) {
+        return chunks.limitWeighted(MAX_BUFFERED_BYTES, chunk -> (long) chunk.size())
+                .mapError(
+                        StreamLimitReachedException.class,
+                        cause -> new RequestException(
+                                ErrorCode.ENDPOINT_FAILED,
+                                Outcome.UNKNOWN,
+                                "the response is larger than " + MAX_BUFFERED_BYTES + " bytes"))
+                .runFold(
+                        new ByteArrayOutputStream(),
+                        (body, chunk) -> {
+                            body.writeBytes(chunk.toArrayUnsafe());
+                            return body;
+                        },
+                        system)
+                .thenApply(body -> ByteString.fromArrayUnsafe(body.toByteArray()));
+    }
+
     private Cancellable delay(Runnable task, long delayMillis) {
         return system.scheduler().scheduleOnce(Duration.ofMillis(delayMillis), task, system.executionContext());
     }
