An agent fails an event stream with a line that has no end

Can it happen here? Yes, in the project's own agent. An engine that sent a line without end in an event stream kept the test JVM at 128 % of a core for two minutes, until the test ended; the caller had a 200 and no event, and no deadline, since a stream that has begun has none. A thread dump shows LineParser.parseLines copying a growing buffer.

Cause: Pekko's parser checks its limit on a line (4 KiB) only when the line ends. Until then it keeps all bytes and searches them again with each read.

Change: LineLimit fails the stream once a line exceeds 16 KiB. An event of many lines was bounded by Pekko before and is now tested as well.

Test before: FaultyEngineTest.testAnEventWithoutEndFailsTheStream, timed out after 120 s. After: FaultyEngineTest (13), StreamFailureTest and EndToEndTest pass.

--- a/agent/src/main/java/org/jasminehub/agent/engine/EndpointRelay.java
+++ b/agent/src/main/java/org/jasminehub/agent/engine/EndpointRelay.java
@@ -77,7 +77,7 @@
 
     private void relayEvents(AgentCall call, HttpResponse response) {
         EventStreamUnmarshalling.fromEventsStream(system.classicSystem())
-                .unmarshal(response.entity(), system)
+                .unmarshal(new LineLimit().applyTo(response.entity()), system)
                 .thenAccept(events -> relayEvents(call, events))
                 .exceptionally(failure -> {
                     fail(call, failure);
--- a/app/src/test/java/org/jasminehub/app/session/FaultyEngineTest.java
+++ b/app/src/test/java/org/jasminehub/app/session/FaultyEngineTest.java
@@ -195,6 +195,17 @@
 
             assertBounded(send(isStream));
         }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"0123456789", "data: 0123456789\n"})
+        void testAnEventWithoutEndFailsTheStream(String filler) {
+            replyWithoutEnd("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: ", filler);
+
+            String answer = send(true);
+
+            assertFalse(answer.contains("[DONE]"), answer);
+            assertTrue(accepted.get() < MAX_ACCEPTED_BYTES, accepted + " bytes accepted");
+        }
     }
 
     /** Guards against a head that breaks off and reaches the caller as a whole response. */
