A peer's message without end closes its connection

Can it happen here? Yes: Netty's decoder accepts messages of up to 2 GiB and keeps their bytes until they are complete. A connection that stated 2 GiB and then sent 200 MB had all of them accepted (EndlessBytesTest$Peers).

Change: a message of more than 4 MiB, several times the largest one, closes the connection. It is also the bound on what is queued for a peer.

Shown not to happen at endpoints (EndlessBytesTest$Places, unsafe, safe and streaming routes): no status line, empty lines, a status line, a header, headers, an interim response, interim responses, a chunk size, a chunk extension and a trailer without end.

--- a/gateway/src/main/java/org/jasminehub/gateway/peer/PeerConnection.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/peer/PeerConnection.java
@@ -17,11 +17,14 @@
     /** Read timeout: several times the longest time between two messages of a healthy peer. */
     private static final long SILENCE_MILLIS = 1_500;
 
+    /** Several times the largest message; a connection with a larger one is closed. */
+    private static final int MAX_MESSAGE_BYTES = 4 << 20;
+
     /**
-     * Limit on the bytes queued for a peer that does not read, above which the connection is closed. Larger than any
-     * single message.
+     * Limit on the bytes queued for a peer that does not read, above which the connection is closed. Not below the size of
+     * a single message.
      */
-    private static final int MAX_PENDING_BYTES = 4 << 20;
+    private static final int MAX_PENDING_BYTES = MAX_MESSAGE_BYTES;
 
     private final PeerListener listener;
     private @Nullable Channel channel;
@@ -35,7 +38,7 @@
         channel.pipeline()
                 .addLast(
                         new ReadTimeoutHandler(SILENCE_MILLIS, TimeUnit.MILLISECONDS),
-                        new ProtobufVarint32FrameDecoder(),
+                        new ProtobufVarint32FrameDecoder(MAX_MESSAGE_BYTES),
                         new ProtobufDecoder(PeerEnvelope.getDefaultInstance()),
                         new ProtobufVarint32LengthFieldPrepender(),
                         new ProtobufEncoder(),
--- a/gateway/src/test/java/org/jasminehub/gateway/EndlessBytesTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/EndlessBytesTest.java
@@ -8,8 +8,12 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Collections;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
@@ -22,6 +26,9 @@
 import org.jasminehub.runtime.time.SystemClock;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** Tests endpoints that send bytes without end, up to 200 MB, until their connection is closed. */
 final class EndlessBytesTest extends GatewayFixture {
@@ -162,6 +169,73 @@
         }
     }
 
+    /** Places of a response in which bytes have no end, on each kind of route. */
+    @Nested
+    final class Places {
+        private static final String HEAD = "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: s\r\n";
+        private static final String CHUNKED = HEAD + "Transfer-Encoding: chunked\r\n\r\n";
+
+        static List<Arguments> places() {
+            return List.of(
+                    Arguments.of("", "x"),
+                    Arguments.of("", "\r\n"),
+                    Arguments.of("HTTP/1.1 200 ", "x"),
+                    Arguments.of("HTTP/1.1 200 OK\r\nX-Long: ", "x"),
+                    Arguments.of("HTTP/1.1 200 OK\r\n", "X-Many: 0123456789\r\n"),
+                    Arguments.of("HTTP/1.1 103 Early Hints\r\n", "X-Many: 0123456789\r\n"),
+                    Arguments.of("", "HTTP/1.1 103 Early Hints\r\n\r\n"),
+                    Arguments.of(CHUNKED, "0"),
+                    Arguments.of(CHUNKED + "1;", "x"),
+                    Arguments.of(CHUNKED + "0\r\n", "X-Trailer: 0123456789\r\n"));
+        }
+
+        @ParameterizedTest
+        @MethodSource("places")
+        void testNoPlaceTakesBytesWithoutEnd(String head, String filler) throws Exception {
+            serveWithOneEndpoint();
+            for (String request : List.of(unsafe("r-1"), safe("r-2"), stream("r-3"))) {
+                accepted.set(0);
+                script.addAll(Collections.nCopies(4, endless(head, filler)));
+
+                String answer = gateway.exchange(request);
+
+                assertTrue(answer.startsWith("HTTP/1.1 50"), answer);
+                awaitClosedEarly();
+                script.clear();
+            }
+        }
+    }
+
+    /** Bytes from processes that connect as peers. */
+    @Nested
+    final class Peers {
+        /** A length of a message, as its protocol states it, of about 2 GB. */
+        private static final byte[] LENGTH = {-1, -1, -1, -1, 7};
+
+        @Test
+        void testAMessageWithoutEndClosesItsConnection() throws Exception {
+            try (GatewayHarness peer = GatewayHarness.withPeers("entry-2");
+                    Socket socket = connect(peer.peerAddress())) {
+                byte[] chunk = new byte[CHUNK_BYTES];
+                socket.getOutputStream().write(LENGTH);
+
+                assertThrows(IOException.class, () -> {
+                    while (accepted.get() < SENT_BYTES) {
+                        socket.getOutputStream().write(chunk);
+                        accepted.addAndGet(chunk.length);
+                    }
+                });
+
+                assertTrue(accepted.get() < MAX_ACCEPTED_BYTES, accepted + " bytes accepted");
+            }
+        }
+
+        private Socket connect(String address) throws IOException {
+            int port = Integer.parseInt(address.substring(address.indexOf(':') + 1));
+            return new Socket(InetAddress.getLoopbackAddress(), port);
+        }
+    }
+
     /** Bytes in reports of engines and responses of the store. */
     @Nested
     final class Reports {
