Tests of planned stops late in the grace time and beside faulty endpoints

The soak of processes now has endpoints that need up to 90 % of the grace time, that send small parts without end, and that run a request and answer 408, 429 or 503 without stating that they did not. The check of promises covers 408 and 421 as well.

--- a/gateway/src/test/java/org/jasminehub/gateway/ProcessSoakRun.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/ProcessSoakRun.java
@@ -67,8 +67,8 @@
     /** Runs until all processes have ended; returns all violated invariants. */
     List<String> execute() throws IOException {
         for (int index = 0; index < ENDPOINTS; index++) {
-            ScriptedEndpoint endpoint = new ScriptedEndpoint(new ConcurrentLinkedQueue<>(
-                    Collections.nCopies(MAX_ARRIVALS, new SoakReply(seed, false, callsById))));
+            ScriptedEndpoint endpoint = new ScriptedEndpoint(new ConcurrentLinkedQueue<>(Collections.nCopies(
+                    MAX_ARRIVALS, new SoakReply(seed, SoakFaults.faulty(GRACE_SECONDS), callsById))));
             endpoints.add(endpoint);
             GatewayHarness.putRegistration(store, "a", "e-" + index, endpoint.port(), "ready", 1);
         }
--- a/gateway/src/test/java/org/jasminehub/gateway/SoakInvariants.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/SoakInvariants.java
@@ -6,6 +6,7 @@
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
@@ -20,6 +21,9 @@
     /** The time after which a request that a process has read must not end without an answer, even if not passed on. */
     private static final long LOSS_SLACK_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
+    /** The statuses that callers read as "not run, and never will be". */
+    private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
+
     private static final long MIN_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
     /** How a request ended for its caller; all but the last two are allowed. */
@@ -225,8 +229,7 @@
 
     private static boolean isRefusalTrue(SoakCall call) {
         SoakResponse response = call.response();
-        boolean isRefusal =
-                response != null && response.isComplete() && (response.status() == 503 || response.status() == 429);
+        boolean isRefusal = response != null && response.isComplete() && PROMISES.contains(response.status());
         return !isRefusal || call.arrivals().stream().allMatch(arrival -> arrival.action() == SoakCall.Action.REFUSED);
     }
 
--- a/gateway/src/test/java/org/jasminehub/gateway/SoakReply.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/SoakReply.java
@@ -4,6 +4,8 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 
@@ -21,13 +23,21 @@
     private static final double SILENT_SHARE = 0.03;
     private static final int MAX_EVENT_GAP_MILLIS = 300;
 
+    /** About 14 Mbit/s, the link of a machine beside an engine. */
+    private static final int FLOOD_WRITE_BYTES = 17_500;
+
+    private static final int FLOOD_PAUSE_MILLIS = 10;
+
+    /** More than an entry instance buffers of one response. */
+    private static final int LARGE_BODY_BYTES = 300 << 10;
+
     private final long seed;
-    private final boolean haveSilentStreams;
+    private final SoakFaults faults;
     private final Map<String, SoakCall> callsById;
 
-    SoakReply(long seed, boolean haveSilentStreams, Map<String, SoakCall> callsById) {
+    SoakReply(long seed, SoakFaults faults, Map<String, SoakCall> callsById) {
         this.seed = seed;
-        this.haveSilentStreams = haveSilentStreams;
+        this.faults = faults;
         this.callsById = callsById;
     }
 
@@ -47,9 +57,20 @@
                 : kind < refusedShare + RESET_SHARE ? SoakCall.Action.RESET : SoakCall.Action.ANSWERED;
         boolean isSilent = action == SoakCall.Action.ANSWERED
                 && kind < refusedShare + RESET_SHARE + SILENT_SHARE
-                && (haveSilentStreams || call.kind() != SoakCall.Kind.STREAM);
-        SoakCall.Arrival arrival = call.onArrival(isSilent ? "which stays silent" : "which will end as " + action);
+                && (faults.haveSilentStreams() || call.kind() != SoakCall.Kind.STREAM);
+        boolean isFlooded = kind > 1 - faults.floodedShare();
+        boolean isUnproven = !isFlooded && kind > 1 - faults.floodedShare() - faults.unprovenShare();
+        SoakCall.Arrival arrival = call.onArrival(
+                isSilent
+                        ? "which stays silent"
+                        : isFlooded ? "which floods" : "which will end as " + (isUnproven ? "unproven" : action));
         try {
+            if (isFlooded) {
+                return flood(socket, call, random);
+            }
+            if (isUnproven) {
+                return answerUnproven(socket, call, arrival, random);
+            }
             return answer(request, socket, call, arrival, isSilent ? SoakCall.Action.UNFINISHED : action, random);
         } catch (IOException e) {
             call.onClosedByGateway(arrival);
@@ -58,7 +79,7 @@
     }
 
     /** Ends as {@code action}, or stays silent from some time on if that is {@code UNFINISHED}. */
-    private static boolean answer(
+    private boolean answer(
             ScriptedEndpoint.Request request,
             Socket socket,
             SoakCall call,
@@ -113,13 +134,56 @@
         }
     }
 
-    /** Returns a delay that is short for most requests and longer than the grace time for a few. */
-    private static int delayMillis(SplittableRandom random) {
+    /** Sends a response of many small parts until the gateway closes the connection. */
+    private static boolean flood(Socket socket, SoakCall call, SplittableRandom random) throws IOException {
+        boolean isStream = call.kind() == SoakCall.Kind.STREAM;
+        String head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + call.id()
+                + "\r\nX-Response-Signature: s\r\nContent-Type: text/event-stream\r\n";
+        String part;
+        switch (random.nextInt(isStream ? 4 : 2)) {
+            case 0 -> part = "HTTP/1.1 103 Early Hints\r\n\r\n";
+            case 1 -> {
+                ScriptedEndpoint.write(socket, head);
+                part = "X-Small: 1\r\n";
+            }
+            case 2 -> {
+                ScriptedEndpoint.write(socket, head + "\r\n");
+                part = "\n";
+            }
+            default -> {
+                ScriptedEndpoint.write(socket, head + "Transfer-Encoding: chunked\r\n\r\n");
+                part = "1\r\n:\r\n";
+            }
+        }
+        byte[] parts = part.repeat(FLOOD_WRITE_BYTES / part.length()).getBytes(StandardCharsets.US_ASCII);
+        while (true) {
+            socket.getOutputStream().write(parts);
+            pause(socket, FLOOD_PAUSE_MILLIS);
+        }
+    }
+
+    /** Runs the request and answers with a status that promises "not run", without stating so. */
+    private boolean answerUnproven(Socket socket, SoakCall call, SoakCall.Arrival arrival, SplittableRandom random)
+            throws IOException {
+        pause(socket, delayMillis(random));
+        call.onEndpointDone(arrival, SoakCall.Action.ANSWERED);
+        String body = "x".repeat(random.nextBoolean() ? 2 : LARGE_BODY_BYTES);
+        int status = List.of(408, 429, 503).get(random.nextInt(3));
+        boolean isFramed = random.nextBoolean();
+        ScriptedEndpoint.write(
+                socket,
+                "HTTP/1.1 " + status + " Failed\r\nX-Attempt-Id: " + call.id() + "\r\nX-Response-Signature: s\r\n"
+                        + (isFramed ? "Content-Length: " + body.length() + "\r\n" : "") + "\r\n" + body);
+        return isFramed;
+    }
+
+    /** Returns a delay that is short for most requests and longer than the rest of the grace time for a few. */
+    private int delayMillis(SplittableRandom random) {
         int kind = random.nextInt(20);
         if (kind < 12) {
             return random.nextInt(60);
         }
-        return kind < 18 ? random.nextInt(800) : 500 + random.nextInt(4_000);
+        return kind < 18 ? random.nextInt(800) : 500 + random.nextInt(faults.slowestMillis() - 500);
     }
 
     /** Waits for {@code millis}; fails as soon as the gateway closes the connection, as a write would only later. */
--- a/gateway/src/test/java/org/jasminehub/gateway/SoakRun.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/SoakRun.java
@@ -53,8 +53,8 @@
     List<String> execute() throws IOException {
         int endpointCount = 1 + random.nextInt(MAX_ENDPOINTS);
         for (int index = 0; index < endpointCount; index++) {
-            endpoints.add(new ScriptedEndpoint(new ConcurrentLinkedQueue<>(
-                    Collections.nCopies(MAX_ARRIVALS, new SoakReply(seed, haveSilentStreams, callsById)))));
+            endpoints.add(new ScriptedEndpoint(new ConcurrentLinkedQueue<>(Collections.nCopies(
+                    MAX_ARRIVALS, new SoakReply(seed, SoakFaults.sound(haveSilentStreams), callsById)))));
         }
         List<Thread> starts = List.of(startThread("start-0", () -> start(0)), startThread("start-1", () -> start(1)));
         starts.forEach(SoakRun::join);
