A peer that connects later learns that an endpoint's limit has ended

Callers saw: after an endpoint stated no limit any more, one instance went on refusing calls beyond it (503 endpoints-limited) until it had a response of its own.

On connecting, instances told each other only the limits that apply.

Change: on connecting they also tell which limits have ended, with the age of the evidence; known for 60 s as before. A receiver ignores it if its own evidence is newer.

Test: testAPeerThatConnectsLaterLearnsThatALimitHasEnded, which does not depend on that race. ExceededRateLimitTest (7), EndpointRateLimitsTest pass.

--- a/core/src/main/java/org/jasminehub/core/ratelimit/EndpointRateLimits.java
+++ b/core/src/main/java/org/jasminehub/core/ratelimit/EndpointRateLimits.java
@@ -85,6 +85,17 @@
         return Set.copyOf(limits.keySet());
     }
 
+    /** Returns the endpoints whose limit has ended recently. */
+    public Set<EndpointIncarnation> ended() {
+        return Set.copyOf(endedMillis.keySet());
+    }
+
+    /** Returns the time since the request was sent whose response ended the limit of {@code endpoint}, 0 if none did. */
+    public long endedAgeMillis(EndpointIncarnation endpoint) {
+        Long sentMillis = endedMillis.get(endpoint);
+        return sentMillis == null ? 0 : clock.monotonicMillis() - sentMillis;
+    }
+
     /** Returns whether any endpoint has a limit. */
     public boolean isActive() {
         return !limits.isEmpty();
--- a/gateway/src/main/java/org/jasminehub/gateway/ratelimit/RateLimitController.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/ratelimit/RateLimitController.java
@@ -139,6 +139,10 @@
                     .ifPresent(limit ->
                             send.accept(RateLimitMessages.stated(endpoint, limit, limits.ageMillis(endpoint))));
         }
+        // The peer may have missed the end of a limit while it was not connected.
+        for (EndpointIncarnation endpoint : limits.ended()) {
+            send.accept(RateLimitMessages.ended(endpoint, limits.endedAgeMillis(endpoint)));
+        }
     }
 
     @Override
--- a/gateway/src/test/java/org/jasminehub/gateway/ExceededRateLimitTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/ExceededRateLimitTest.java
@@ -113,6 +113,22 @@
         }
     }
 
+    @Test
+    void testAPeerThatConnectsLaterLearnsThatALimitHasEnded() throws Exception {
+        call(0, "/hasty/x");
+        gateways.forEach(gateway -> gateway.awaitEvent(ControlEventKind.ENDPOINT_LIMITED, "e-1"));
+        limited.setLimit("");
+        while (gateways.get(1).gauge("endpoints.limited") > 0) {
+            call(1, "/hasty/x");
+        }
+
+        try (FakePeer peer = new FakePeer(gateways.get(1).peerAddress())) {
+            GatewayHarness.await(() -> peer.received().stream()
+                    .anyMatch(message -> message.hasEndpointRateLimit()
+                            && !message.getEndpointRateLimit().getIsLimited()));
+        }
+    }
+
     @Test
     void testAMalformedLimitIsIgnoredAndLogged() throws Exception {
         limited.setLimit("many");
--- a/gateway/src/test/java/org/jasminehub/gateway/FakePeer.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/FakePeer.java
@@ -4,7 +4,9 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import org.jasminehub.gateway.net.EndpointAddress;
 import org.jasminehub.gateway.peer.PeerConnection;
@@ -21,6 +23,7 @@
                     1, new DefaultThreadFactory("peer", true), NioIoHandler.newFactory())
             .next();
     private final CompletableFuture<PeerConnection> connected = new CompletableFuture<>();
+    private final Queue<PeerEnvelope> received = new ConcurrentLinkedQueue<>();
     private final PeerLink link;
 
     /** Connects to the instance at {@code address}. */
@@ -33,7 +36,7 @@
 
             @Override
             public void onMessage(PeerConnection connection, PeerEnvelope message) {
-                // Tests look at the state of the instance only.
+                received.add(message);
             }
 
             @Override
@@ -43,6 +46,11 @@
         });
     }
 
+    /** Returns the messages that the instance has sent, in order. */
+    Queue<PeerEnvelope> received() {
+        return received;
+    }
+
     /** Returns what a peer states about an evacuation in the first era of the store. */
     static DomainEvacuation evacuation(String domain, boolean isEvacuated, long offset) {
         return DomainEvacuation.newBuilder()
