--- a/entry/src/main/java/org/jasminehub/entry/relay/RelayHandler.java
+++ b/entry/src/main/java/org/jasminehub/entry/relay/RelayHandler.java
@@ -30,7 +30,8 @@
  * The last step of the filter chain: sends the request to an endpoint and relays the response.
  *
  * <p>A streamed response is relayed as it arrives and is resumed at another endpoint if its endpoint fails. Any other
- * response is buffered first, so the caller receives either the complete response or an error. Thread-safe.
+ * response is buffered first, so the caller receives either the complete response or an error; one that exceeds the
+ * buffer is an error. Thread-safe.
  */
 public final class RelayHandler implements RequestHandler {
     private static final int FIRST_ERROR_STATUS = 400;
