Blank lines of an attempt that delivered no event stay out of a stream

Found while reading the change as a newcomer: the blank lines behind the last event were added to the caller's stream also if the attempt that ended had delivered nothing, for example one that continues the stream of another endpoint and has no further event. They are now relayed only behind events of the same attempt, as the part of its body that they are.

Also: the reason at the check for promises in RunningCall is back.

SmallEventsTest, BrokenStreamsTest, StreamsTest, SilentStreamsTest, EndlessBytesTest and UnprovenRefusalTest pass (111 tests).

--- a/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
@@ -272,6 +272,7 @@
         boolean mayHaveRun = attempts.mayHaveRun();
         Refusal response = refusal;
         if (mayHaveRun && ResponsePolicy.promisesNotRun(refusal.status())) {
+            // Callers would read the status as "not run", which is not certain here.
             response = Refusal.of(ErrorCode.ENDPOINT_FAILED, refusal.reason());
         }
         if (!mayHaveRun && refusal.code() == ErrorCode.DEADLINE_EXCEEDED) {
--- a/gateway/src/main/java/org/jasminehub/gateway/call/StreamRelay.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/StreamRelay.java
@@ -125,7 +125,7 @@
         }
         sendHead();
         byte[] blankLines = splitter.takeBlankLines();
-        if (blankLines.length > 0) {
+        if (hasDelivered && blankLines.length > 0) {
             call.answer().part(blankLines);
         }
         attempt.succeed(status.code());
