Bound the memory that all clients make an entry instance hold

Callers saw: clients that sent many bodies or heads at once, most of them stopping short of their end and staying connected, ended an entry instance. With fewer of them it lived on after an OutOfMemoryError, with connections closed without an answer and classes that could no longer be initialized.

Cause: the size of one head and of one body was bounded, and nothing that all clients held together. A body held up to three times its bytes (a buffer that doubles, and a copy when it is complete). Fields of five bytes were parsed before their head was complete. Requests behind one that runs were parsed into up to 64 parts and the rest of a read. Directory, readiness and metrics kept bodies that they do not need, and a body was read whole before its key was checked.

Ruled out: the size of the heap (a larger one needs a larger crowd) and unread responses of large size (back pressure stops at one buffer a connection).

Change: each connection reserves memory in one MemoryBudget before it keeps a byte and releases it on every end path. A quarter is left to small requests; holders without progress are evicted when others need their memory, the largest first. Heads are parsed once they are complete and their memory is reserved; bytes behind a request stay unparsed; bodies are kept in segments, and not at all where the response does not depend on them. Without memory, a request is refused at its head with 503 and Retry-After; it has not run.

--- a/bench/src/main/java/org/jasminehub/bench/start/StartBench.java
+++ b/bench/src/main/java/org/jasminehub/bench/start/StartBench.java
@@ -157,6 +157,8 @@
                   sharedQueuesMinInstances: 0
                   crossDomainCost: 0
                   homeDomainMinEndpoints: 0
+                clients:
+                  memoryShare: 0.3
                 """.formatted(HOST, callerPort, freePort());
     }
 
--- a/core/src/main/java/org/jasminehub/core/error/ErrorCode.java
+++ b/core/src/main/java/org/jasminehub/core/error/ErrorCode.java
@@ -28,6 +28,10 @@
     REQUEST_MALFORMED("request-malformed", 400),
     /** The body or a header of a request is larger than allowed. */
     REQUEST_TOO_LARGE("request-too-large", 413),
+    /** Clients hold all the memory that they may, so the request was not read. */
+    MEMORY_EXHAUSTED("memory-exhausted", 503),
+    /** The client sent no more of its request while others needed the memory that it held. */
+    REQUEST_STALLED("request-stalled", 408),
     /** The request names no workspace, or one that no document in force contains. */
     WORKSPACE_UNKNOWN("workspace-unknown", 404),
     /** No route of a document in force matches the request. */
--- a/gateway/src/main/java/org/jasminehub/gateway/DirectoryHandler.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/DirectoryHandler.java
@@ -36,6 +36,11 @@
         this.settings = settings;
     }
 
+    @Override
+    public boolean needsBody(CallerRequest request) {
+        return false;
+    }
+
     @Override
     public CallerExchange handle(CallerRequest request, CallerResponse answer) {
         if (DirectoryAdapter.isReadiness(request.uri())) {
--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -232,15 +232,13 @@
                 new CallSettings((long) (settings.revocationMillis() * FRESH_SHARE)),
                 stopSequence,
                 dispatcher);
-        EntryTraffic opened =
-                new EntryTraffic(loop, configuration, events, dispatcher, settings.callerAddress(), pipeline);
+        ClientResources resources = new ClientResources(settings.clients(), clock);
+        EntryTraffic opened = new EntryTraffic(
+                loop, configuration, events, dispatcher, resources, settings.callerAddress(), pipeline);
         DirectoryHandler directory = new DirectoryHandler(() -> isReady, peers::acceptingInstances, settings);
-        opened.listen(settings.readinessAddress(), directory);
-        opened.listen(settings.directoryAddress(), directory);
-        opened.listen(
-                EndpointAddress.parse(settings.peerAddress()).host() + ":" + settings.metricsPort(),
-                new MetricsHandler(metrics));
+        opened.listenForOthers(settings, directory, new MetricsHandler(metrics));
         registerGauges();
+        resources.register(metrics, opened);
         PeerServer.start(loop, EndpointAddress.parse(settings.peerAddress()), peers);
         loop.execute(() -> {
             evacuations.start(endpoints, peers::addExtension);
--- a/gateway/src/main/java/org/jasminehub/gateway/EntryTraffic.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryTraffic.java
@@ -12,6 +12,7 @@
 import org.jasminehub.gateway.net.CallerHandler;
 import org.jasminehub.gateway.net.CallerServer;
 import org.jasminehub.gateway.net.EndpointAddress;
+import org.jasminehub.gateway.net.ServerResources;
 
 /** The listeners of an entry instance and the calls that they have accepted. */
 final class EntryTraffic implements StopTarget {
@@ -19,31 +20,38 @@
     private final Supplier<CallerLimits> limits;
     private final MalformedRequestLog malformed;
     private final CallDispatcher calls;
+    private final ClientResources resources;
     private final CallerServer callers;
     private final List<CallerServer> others = new ArrayList<>();
 
-    /** Listens for calls at {@code callerAddress}. */
+    /** Listens for calls at {@code callerAddress}; all listeners share {@code resources}. */
     EntryTraffic(
             EventLoop loop,
             ConfigurationController configuration,
             EventSink events,
             CallDispatcher calls,
+            ClientResources resources,
             String callerAddress,
             CallerHandler handler) {
         this.loop = loop;
         this.limits = () -> configuration.inForce().map(RouteTable::limits).orElse(CallerLimits.DEFAULT);
         this.malformed = new MalformedRequestLog(events, configuration);
         this.calls = calls;
-        this.callers = start(callerAddress, handler);
+        this.resources = resources;
+        this.callers = start(callerAddress, resources.forListener(), handler);
     }
 
-    private CallerServer start(String address, CallerHandler handler) {
-        return CallerServer.start(loop, EndpointAddress.parse(address), limits, handler, malformed::onMalformed);
+    private CallerServer start(String address, ServerResources allowed, CallerHandler handler) {
+        return CallerServer.start(
+                loop, EndpointAddress.parse(address), limits, allowed, handler, malformed::onMalformed);
     }
 
-    /** Listens for other requests, which {@code handler} answers at once. */
-    void listen(String address, CallerHandler handler) {
-        others.add(start(address, handler));
+    /** Listens for address look-ups of callers, readiness probes and requests for metrics. */
+    void listenForOthers(GatewaySettings settings, CallerHandler directory, CallerHandler metrics) {
+        String metricsAddress = EndpointAddress.parse(settings.peerAddress()).host() + ":" + settings.metricsPort();
+        others.add(start(settings.readinessAddress(), resources.forListener(), directory));
+        others.add(start(settings.directoryAddress(), resources.forListener(), directory));
+        others.add(start(metricsAddress, resources.forListener(), metrics));
     }
 
     /** Returns the port that callers connect to. */
--- a/gateway/src/main/java/org/jasminehub/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/GatewaySettings.java
@@ -26,6 +26,7 @@
  * @param repeatReserve the retries allowed in addition within a window, across all instances
  * @param repeatWindowSeconds the length of the window
  * @param capacity how the instances share the capacity of a service
+ * @param clients what clients can make the instance hold
  */
 public record GatewaySettings(
         String instance,
@@ -47,7 +48,8 @@
         double repeatRatio,
         double repeatReserve,
         double repeatWindowSeconds,
-        CapacitySettings capacity) {
+        CapacitySettings capacity,
+        ClientSettings clients) {
     /** Creates settings; times must be positive and names must not be blank. */
     public GatewaySettings {
         Checks.notBlank("instance", instance);
--- a/gateway/src/main/java/org/jasminehub/gateway/MalformedRequestLog.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/MalformedRequestLog.java
@@ -1,5 +1,6 @@
 package org.jasminehub.gateway;
 
+import java.util.List;
 import org.jasminehub.core.error.ErrorCode;
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.serving.RouteTable;
@@ -10,14 +11,14 @@
 /** Logs requests that did not become calls, because they could not be decoded or their processing failed. */
 record MalformedRequestLog(EventSink events, ConfigurationController configuration) {
     void onMalformed(int status, String reason) {
-        boolean isOwnFailure = status == ErrorCode.INTERNAL.httpStatus();
+        ErrorCode code = codeOf(status);
         events.emit(new CallEnded(
-                isOwnFailure ? CallEventKind.CALL_REFUSED : CallEventKind.REQUEST_MALFORMED,
+                code == ErrorCode.REQUEST_MALFORMED ? CallEventKind.REQUEST_MALFORMED : CallEventKind.CALL_REFUSED,
                 "",
                 "",
                 "",
                 status,
-                (isOwnFailure ? ErrorCode.INTERNAL : ErrorCode.REQUEST_MALFORMED).code(),
+                code.code(),
                 reason,
                 "",
                 0,
@@ -28,4 +29,13 @@
                 configuration.inForce().map(RouteTable::version).orElse(0L),
                 configuration.ageMillis()));
     }
+
+    private static ErrorCode codeOf(int status) {
+        for (ErrorCode code : List.of(ErrorCode.INTERNAL, ErrorCode.MEMORY_EXHAUSTED, ErrorCode.REQUEST_STALLED)) {
+            if (code.httpStatus() == status) {
+                return code;
+            }
+        }
+        return ErrorCode.REQUEST_MALFORMED;
+    }
 }
--- a/gateway/src/main/java/org/jasminehub/gateway/Rehearsal.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/Rehearsal.java
@@ -124,6 +124,8 @@
                   sharedQueuesMinInstances: 0
                   crossDomainCost: 0
                   homeDomainMinEndpoints: 0
+                clients:
+                  memoryShare: 0.3
                 """.formatted(HOST, callerPort, freePort(), platformPort);
     }
 
--- a/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
@@ -1,6 +1,5 @@
 package org.jasminehub.gateway.call;
 
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -76,11 +75,11 @@
                 HttpVersion.HTTP_1_1,
                 request.method(),
                 request.uri(),
-                Unpooled.wrappedBuffer(request.body()),
+                request.body().toBuffer(),
                 headers,
                 EmptyHttpHeaders.INSTANCE);
-        if (request.body().length > 0 || HttpMethod.POST.equals(request.method())) {
-            HttpUtil.setContentLength(message, request.body().length);
+        if (request.body().length() > 0 || HttpMethod.POST.equals(request.method())) {
+            HttpUtil.setContentLength(message, request.body().length());
         }
         exchange = call.dispatcher().send(endpoint, message, call.context().requestId(), connectionUse(), this);
         startTimeout();
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallIdentity.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallIdentity.java
@@ -93,7 +93,7 @@
             put(hasher, request.uri());
             put(hasher, grant == null ? "" : grant.workspace().value());
             parts().forEach(part -> put(hasher, part));
-            hasher.putBytes(request.body());
+            request.body().forEachSegment(hasher::putBytes);
             digest = hasher.hash().toString().substring(0, DIGEST_LENGTH);
         }
         return digest;
--- a/gateway/src/main/java/org/jasminehub/gateway/net/CallerConnection.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/CallerConnection.java
@@ -1,19 +1,16 @@
 package org.jasminehub.gateway.net;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -23,31 +20,30 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.Locale;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import org.jasminehub.core.intake.MemoryAccount;
 import org.jasminehub.core.serving.CallerLimits;
 import org.jspecify.annotations.Nullable;
 
 /** A caller's connection; processes one request at a time, and the next one once the response is sent. */
-final class CallerConnection extends ChannelInboundHandlerAdapter {
-    /** Maximum number of parsed parts of later requests; above it, reading from the connection stops. */
-    private static final int MAX_PENDING_PARTS = 64;
-
+final class CallerConnection extends ChannelInboundHandlerAdapter implements ResponseWriter.Connection {
     /** A caller that has just connected or received a response may have sent a request that is still in transit. */
     private static final int IDLE_CHECKS_BEFORE_CLOSE = 10;
 
     /** Time for a caller to read the rest of the last response and to close the connection. */
     private static final long LINGER_MILLIS = 1_000;
 
-    private static final byte[] FAILED_BODY = "internal error\n".getBytes(StandardCharsets.UTF_8);
+    private static final double MILLIS_PER_SECOND = 1_000;
 
     private final CallerServer server;
     private final CallerLimits limits;
-    private final Deque<HttpObject> pendingParts = new ArrayDeque<>();
+    private final MemoryAccount account;
+    private final StrictRequestDecoder decoder;
+    private final IncomingBody body;
+    private @Nullable ChannelHandlerContext connectionContext;
     private @Nullable HttpRequest head;
-    private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private @Nullable CallerExchange exchange;
     private @Nullable ResponseWriter writer;
     private @Nullable ScheduledFuture<?> timer;
@@ -57,10 +53,19 @@
     CallerConnection(CallerServer server, CallerLimits limits) {
         this.server = server;
         this.limits = limits;
+        this.account = server.resources().memory().open(this::evict);
+        this.decoder = new StrictRequestDecoder(limits.headerBytes(), account);
+        this.body = new IncomingBody(account);
+    }
+
+    /** Returns the decoder whose requests this connection processes. */
+    StrictRequestDecoder decoder() {
+        return decoder;
     }
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
+        connectionContext = context;
         server.onOpened(context.channel());
         // The first request on a new connection must arrive within the header timeout.
         startTimer(context, limits.headerTimeoutMillis());
@@ -68,38 +73,35 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-        if (isClosing || !(message instanceof HttpObject part)) {
+        try {
+            if (!isClosing && message instanceof HttpObject part) {
+                process(context, part);
+            }
+        } finally {
             ReferenceCountUtil.release(message);
-            return;
         }
-        if (writer != null) {
-            pendingParts.add(part);
-            if (pendingParts.size() > MAX_PENDING_PARTS) {
-                context.channel().config().setAutoRead(false);
-            }
+    }
+
+    private void process(ChannelHandlerContext context, HttpObject part) {
+        if (part.decoderResult().isFailure()) {
+            refuseUndecoded(context, part.decoderResult().cause());
             return;
         }
-        process(context, part);
+        if (part instanceof HttpRequest request) {
+            onRequestHead(context, request);
+        }
+        if (part instanceof HttpContent content && head != null && !isClosing) {
+            onBody(context, content);
+        }
     }
 
-    private void process(ChannelHandlerContext context, HttpObject part) {
-        try {
-            if (part.decoderResult().isFailure()) {
-                boolean isTooLong = part.decoderResult().cause() instanceof TooLongFrameException;
-                refuse(
-                        context,
-                        isTooLong ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST,
-                        isTooLong ? "the headers are too large" : "the request cannot be parsed");
-                return;
-            }
-            if (part instanceof HttpRequest request) {
-                onRequestHead(context, request);
-            }
-            if (part instanceof HttpContent content && head != null && !isClosing) {
-                onBody(context, content);
-            }
-        } finally {
-            ReferenceCountUtil.release(part);
+    private void refuseUndecoded(ChannelHandlerContext context, Throwable cause) {
+        if (cause instanceof InsufficientMemoryException) {
+            refuseForMemory(context);
+        } else if (cause instanceof TooLongFrameException) {
+            refuse(context, HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the headers are too large");
+        } else {
+            refuse(context, HttpResponseStatus.BAD_REQUEST, "the request cannot be parsed");
         }
     }
 
@@ -109,80 +111,163 @@
             refuse(context, HttpResponseStatus.BAD_REQUEST, violation);
             return;
         }
-        if (HttpUtil.getContentLength(request, 0L) > limits.bodyBytes()) {
+        body.begin(request);
+        if (body.announcedBytes() > limits.bodyBytes()) {
             refuse(context, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
             return;
         }
         head = request;
-        body = Unpooled.buffer();
-        if (HttpUtil.is100ContinueExpected(request)) {
+        boolean isNeeded = body.isKept() || server.handler().needsBody(toCallerRequest(request, new RequestBody()));
+        if (isNeeded && !body.keep()) {
+            refuseForMemory(context);
+            return;
+        }
+        if (isNeeded && HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
         startTimer(context, limits.idleTimeoutMillis());
     }
 
     private void onBody(ChannelHandlerContext context, HttpContent content) {
-        if (body.readableBytes() + content.content().readableBytes() > limits.bodyBytes()) {
+        int bytes = content.content().readableBytes();
+        if (body.receivedBytes() + bytes > limits.bodyBytes()) {
             refuse(context, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
             return;
         }
-        body.writeBytes(content.content());
+        account.onTransferred(bytes);
+        if (!body.append(content.content())) {
+            refuseForMemory(context);
+            return;
+        }
         if (content instanceof LastHttpContent) {
-            dispatch(context);
+            dispatch(context, false);
         }
     }
 
-    private void dispatch(ChannelHandlerContext context) {
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (head != null && !body.isKept() && !isClosing) {
+            // The response does not depend on the body, so the caller gets it without sending the rest.
+            decoder.discard(bytes -> true);
+            dispatch(context, true);
+        }
+    }
+
+    /** Passes the request to the handler; the connection closes after the response if part of the body is unread. */
+    private void dispatch(ChannelHandlerContext context, boolean isBodyUnread) {
         HttpRequest request = head;
         if (request == null) {
             return;
         }
         head = null;
-        byte[] bytes = new byte[body.readableBytes()];
-        body.readBytes(bytes);
-        body.release();
-        body = Unpooled.EMPTY_BUFFER;
         stopTimer();
-        ResponseWriter response = new ResponseWriter(context, !HttpUtil.isKeepAlive(request));
+        account.setEvictable(false);
+        ResponseWriter response = new ResponseWriter(
+                context,
+                this,
+                account,
+                isBodyUnread || !HttpUtil.isKeepAlive(request),
+                // A request that was received behind this one gets its response before the connection closes.
+                () -> server.isStopping() && !decoder.hasUnparsedHead());
         writer = response;
-        String host = request.headers().get(HttpHeaderNames.HOST);
-        int port = host.lastIndexOf(':');
-        CallerRequest callerRequest = new CallerRequest(
-                request.method(), request.uri(), port < 0 ? host : host.substring(0, port), request.headers(), bytes);
+        CallerRequest callerRequest = toCallerRequest(request, body.take());
         try {
             CallerExchange started = server.handler().handle(callerRequest, response);
             if (writer == response) {
                 exchange = started;
             }
         } catch (RuntimeException e) {
-            response.fail(e);
+            server.onMalformed(HttpResponseStatus.INTERNAL_SERVER_ERROR.code(), "processing failed: " + e);
+            response.fail();
         }
     }
 
+    private static CallerRequest toCallerRequest(HttpRequest request, RequestBody body) {
+        String host = request.headers().get(HttpHeaderNames.HOST);
+        int port = host.lastIndexOf(':');
+        return new CallerRequest(
+                request.method(), request.uri(), port < 0 ? host : host.substring(0, port), request.headers(), body);
+    }
+
+    private void refuseForMemory(ChannelHandlerContext context) {
+        refuse(
+                context,
+                HttpResponseStatus.SERVICE_UNAVAILABLE,
+                "clients hold all the memory that they may, so the request was not read");
+    }
+
     private void refuse(ChannelHandlerContext context, HttpResponseStatus status, String reason) {
         isClosing = true;
-        stopTimer();
+        head = null;
+        body.release();
+        decoder.discard(bytes -> true);
         server.onMalformed(status.code(), reason);
+        context.writeAndFlush(refusal(status, reason)).addListener(written -> closeAfterCaller(context));
+    }
+
+    private DefaultFullHttpResponse refusal(HttpResponseStatus status, String reason) {
         DefaultFullHttpResponse response = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1, status, Unpooled.copiedBuffer(reason + "\n", StandardCharsets.UTF_8));
         HttpUtil.setContentLength(response, response.content().readableBytes());
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        context.writeAndFlush(response).addListener(written -> closeAfterCaller(context));
+        if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+            response.headers()
+                    .set(
+                            HttpHeaderNames.RETRY_AFTER,
+                            String.format(Locale.ROOT, "%.3f", server.retryAfterMillis() / MILLIS_PER_SECOND));
+        }
+        return response;
     }
 
-    private void onResponseSent(ChannelHandlerContext context, boolean closes) {
+    /** Ends the connection of a caller that has stopped sending or reading, because its memory is needed for others. */
+    private void evict() {
+        isClosing = true;
+        body.release();
+        ChannelHandlerContext context = connectionContext;
+        if (context == null) {
+            return;
+        }
+        boolean isReadingRequest = writer == null;
+        head = null;
+        if (!isReadingRequest) {
+            context.close();
+            return;
+        }
+        String reason = "nothing more of the request arrived while its memory was needed";
+        server.onMalformed(HttpResponseStatus.REQUEST_TIMEOUT.code(), reason);
+        context.writeAndFlush(refusal(HttpResponseStatus.REQUEST_TIMEOUT, reason))
+                .addListener(ChannelFutureListener.CLOSE);
+    }
+
+    @Override
+    public boolean isCurrent(ResponseWriter response) {
+        return writer == response;
+    }
+
+    @Override
+    public void onResponseSent(boolean closes) {
+        ChannelHandlerContext context = connectionContext;
+        if (context == null) {
+            return;
+        }
         idleChecks = 0;
         writer = null;
         exchange = null;
+        body.release();
+        account.setEvictable(true);
         if (closes) {
             closeAfterCaller(context);
             return;
         }
         startTimer(context, limits.idleTimeoutMillis());
-        while (writer == null && !isClosing && !pendingParts.isEmpty()) {
-            process(context, pendingParts.remove());
-        }
-        context.channel().config().setAutoRead(true);
+        decoder.resume(context.pipeline().context(decoder));
+    }
+
+    @Override
+    public void onAborted() {
+        writer = null;
+        exchange = null;
+        isClosing = true;
     }
 
     /**
@@ -191,6 +276,7 @@
      */
     private void closeAfterCaller(ChannelHandlerContext context) {
         isClosing = true;
+        decoder.discard(bytes -> true);
         startTimer(context, LINGER_MILLIS);
         context.channel().config().setAutoRead(true);
         if (context.channel() instanceof DuplexChannel channel) {
@@ -212,7 +298,7 @@
 
     /** Returns whether a request has been read whose response has not been handed to the operating system yet. */
     boolean isAnswerDue() {
-        return writer != null || (!isClosing && !pendingParts.isEmpty());
+        return writer != null || (!isClosing && decoder.hasUnparsedHead());
     }
 
     /** Closes the connection unless a response is due or the caller may still be reading the last one. */
@@ -254,100 +340,11 @@
         stopTimer();
         isClosing = true;
         body.release();
-        body = Unpooled.EMPTY_BUFFER;
-        pendingParts.forEach(ReferenceCountUtil::release);
-        pendingParts.clear();
+        account.close();
         CallerExchange running = exchange;
         exchange = null;
         if (running != null) {
             running.onCallerDisconnected();
         }
     }
-
-    /** Writes the response to the current request. */
-    private final class ResponseWriter implements CallerResponse {
-        private final ChannelHandlerContext context;
-        private boolean closes;
-        private boolean isBegun;
-
-        ResponseWriter(ChannelHandlerContext context, boolean closes) {
-            this.context = context;
-            this.closes = closes;
-        }
-
-        @Override
-        public void complete(HttpResponseStatus status, HttpHeaders headers, byte[] bytes) {
-            DefaultFullHttpResponse response = new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(bytes), headers, EmptyHttpHeaders.INSTANCE);
-            if (!headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
-                HttpUtil.setContentLength(response, bytes.length);
-            }
-            markClose(headers);
-            finish(response);
-        }
-
-        /** Reports that the handler threw, and responds unless it has begun a response. */
-        void fail(RuntimeException cause) {
-            server.onMalformed(HttpResponseStatus.INTERNAL_SERVER_ERROR.code(), "processing failed: " + cause);
-            if (!isBegun) {
-                // The handler may still use this response, so no other one may follow on the connection.
-                closes = true;
-                complete(HttpResponseStatus.INTERNAL_SERVER_ERROR, new DefaultHttpHeaders(), FAILED_BODY);
-            }
-        }
-
-        @Override
-        public void begin(HttpResponseStatus status, HttpHeaders headers, long bodyLength) {
-            markClose(headers);
-            StreamedResponses.begin(context, status, headers, bodyLength, closes);
-        }
-
-        @Override
-        public void part(byte[] bytes) {
-            StreamedResponses.part(context, bytes);
-        }
-
-        @Override
-        public void end() {
-            finish(LastHttpContent.EMPTY_LAST_CONTENT);
-        }
-
-        /** Only the head can announce the close; without the announcement the caller may have sent its next request. */
-        private void markClose(HttpHeaders headers) {
-            isBegun = true;
-            // A request that has been read behind this one gets its response before the connection closes.
-            closes |= server.isStopping() && pendingParts.isEmpty();
-            if (closes) {
-                headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            }
-        }
-
-        private void finish(Object last) {
-            if (writer != this) {
-                ReferenceCountUtil.release(last);
-                return;
-            }
-            context.writeAndFlush(last)
-                    .addListener(written -> context.executor().execute(() -> {
-                        if (writer == this) {
-                            onResponseSent(context, closes);
-                        }
-                    }));
-        }
-
-        @Override
-        public void abort() {
-            if (writer == this) {
-                writer = null;
-                exchange = null;
-                isClosing = true;
-                context.close();
-            }
-        }
-
-        @Override
-        public boolean isWritable() {
-            return context.channel().isWritable();
-        }
-    }
 }
--- a/gateway/src/main/java/org/jasminehub/gateway/net/CallerRequest.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/CallerRequest.java
@@ -12,7 +12,7 @@
  * @param headers all headers
  * @param body the body, empty if there is none
  */
-public record CallerRequest(HttpMethod method, String uri, String host, HttpHeaders headers, byte[] body) {
+public record CallerRequest(HttpMethod method, String uri, String host, HttpHeaders headers, RequestBody body) {
     /** Returns the path without the query. */
     public String path() {
         int end = uri.indexOf('?');
--- a/gateway/src/main/java/org/jasminehub/gateway/net/CallerServer.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/CallerServer.java
@@ -16,12 +16,13 @@
 import java.util.function.Supplier;
 import org.jasminehub.core.serving.CallerLimits;
 import org.jasminehub.platform.PlatformException;
+import org.jasminehub.runtime.time.SystemClock;
 
 /**
  * Accepts callers' connections and rejects requests that are malformed or ambiguous.
  *
  * <pre>{@code
- * CallerServer server = CallerServer.start(loop, address, () -> limits, handler, onMalformed);
+ * CallerServer server = CallerServer.start(loop, address, () -> limits, resources, handler, onMalformed);
  * }</pre>
  *
  * <p>All connections run on the event loop that is passed to {@link #start}.
@@ -30,18 +31,28 @@
     /** Large, because all callers reconnect at the same time after a restart of the process. */
     private static final int BACKLOG = 1024;
 
+    /** The delays that refused callers are told in turn, so that they do not all return at the same time. */
+    private static final long MIN_RETRY_AFTER_MILLIS = 500;
+
+    private static final long RETRY_AFTER_STEP_MILLIS = 50;
+    private static final int RETRY_AFTER_STEPS = 11;
+
+    private final ServerResources resources;
     private final CallerHandler handler;
     private final BiConsumer<Integer, String> onMalformed;
     private final Set<Channel> open = new HashSet<>();
     private final Channel listening;
+    private int refusals;
     private boolean isStopping;
 
     private CallerServer(
             EventLoop loop,
             EndpointAddress address,
             Supplier<CallerLimits> limits,
+            ServerResources resources,
             CallerHandler handler,
             BiConsumer<Integer, String> onMalformed) {
+        this.resources = resources;
         this.handler = handler;
         this.onMalformed = onMalformed;
         ChannelFuture binding = BoundedReads.applyTo(new ServerBootstrap())
@@ -54,12 +65,8 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        CallerLimits connectionLimits = limits.get();
-                        channel.pipeline()
-                                .addLast(
-                                        new StrictRequestDecoder(connectionLimits.headerBytes()),
-                                        new HttpResponseEncoder(),
-                                        new CallerConnection(CallerServer.this, connectionLimits));
+                        CallerConnection connection = new CallerConnection(CallerServer.this, limits.get());
+                        channel.pipeline().addLast(connection.decoder(), new HttpResponseEncoder(), connection);
                     }
                 })
                 .bind(address.host(), address.port())
@@ -74,15 +81,27 @@
      * Starts listening; port 0 selects a free port.
      *
      * @param limits the limits on requests, read for each new connection
+     * @param resources what all clients together may use up
      * @param onMalformed called with the status and the reason of each rejected request
      */
+    public static CallerServer start(
+            EventLoop loop,
+            EndpointAddress address,
+            Supplier<CallerLimits> limits,
+            ServerResources resources,
+            CallerHandler handler,
+            BiConsumer<Integer, String> onMalformed) {
+        return new CallerServer(loop, address, limits, resources, handler, onMalformed);
+    }
+
+    /** Starts listening like the other method, for clients that are part of this system. */
     public static CallerServer start(
             EventLoop loop,
             EndpointAddress address,
             Supplier<CallerLimits> limits,
             CallerHandler handler,
             BiConsumer<Integer, String> onMalformed) {
-        return new CallerServer(loop, address, limits, handler, onMalformed);
+        return start(loop, address, limits, ServerResources.unlimited(new SystemClock()), handler, onMalformed);
     }
 
     /** Returns the port that the server listens on. */
@@ -149,6 +168,16 @@
         onMalformed.accept(status, reason);
     }
 
+    ServerResources resources() {
+        return resources;
+    }
+
+    /** Returns the delay after which the next caller that is refused for lack of memory should retry. */
+    long retryAfterMillis() {
+        refusals = (refusals + 1) % RETRY_AFTER_STEPS;
+        return MIN_RETRY_AFTER_MILLIS + refusals * RETRY_AFTER_STEP_MILLIS;
+    }
+
     void onOpened(Channel channel) {
         open.add(channel);
     }
--- a/gateway/src/main/java/org/jasminehub/gateway/net/StreamedResponses.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/StreamedResponses.java
@@ -1,6 +1,7 @@
 package org.jasminehub.gateway.net;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -32,7 +33,7 @@
         context.write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers));
     }
 
-    static void part(ChannelHandlerContext context, byte[] bytes) {
-        context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+    static ChannelFuture part(ChannelHandlerContext context, byte[] bytes) {
+        return context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
     }
 }
--- a/gateway/src/main/java/org/jasminehub/gateway/telemetry/MetricsHandler.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/telemetry/MetricsHandler.java
@@ -29,6 +29,11 @@
         collectors.register(new DropwizardExports(metrics));
     }
 
+    @Override
+    public boolean needsBody(CallerRequest request) {
+        return false;
+    }
+
     @Override
     public CallerExchange handle(CallerRequest request, CallerResponse response) {
         HttpHeaders headers = new DefaultHttpHeaders(false);
--- a/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
@@ -83,6 +83,8 @@
         }
     }
 
+    static final ClientSettings CLIENTS = new ClientSettings(0.3);
+
     private static final String ANY_PORT = "127.0.0.1:0";
 
     private final EventLoop storeLoop;
@@ -134,7 +136,8 @@
                 0.2,
                 60,
                 10,
-                capacity);
+                capacity,
+                CLIENTS);
         entry = new EntryProgram(settings, clock, events::add, metrics);
         entry.start();
     }
@@ -285,7 +288,12 @@
 
     /** Waits until a condition holds that another thread establishes. */
     static void await(BooleanSupplier condition) {
-        long endNanos = System.nanoTime() + TIMEOUT.toNanos();
+        await(TIMEOUT, condition);
+    }
+
+    /** Waits at most {@code timeout} until a condition holds that another thread establishes. */
+    static void await(Duration timeout, BooleanSupplier condition) {
+        long endNanos = System.nanoTime() + timeout.toNanos();
         while (!condition.getAsBoolean()) {
             if (System.nanoTime() > endNanos) {
                 throw new AssertionError("condition not met within the time-out");
--- a/gateway/src/test/java/org/jasminehub/gateway/GatewayProcess.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/GatewayProcess.java
@@ -21,8 +21,13 @@
     private static final @Nullable String JAR = System.getProperty("jasminehub.soak.jar");
 
     private static final AtomicInteger NEXT_HOST = new AtomicInteger();
-    private static final int CALLER_PORT = 8_227;
-    private static final int READINESS_PORT = 8_220;
+    private static final int HEAP_MEGABYTES = 160;
+    private static final int DESCRIPTORS = 4_100;
+    static final int CALLER_PORT = 8_227;
+    static final int READINESS_PORT = 8_220;
+    static final int DIRECTORY_PORT = 8_224;
+    static final int PEER_PORT = 8_229;
+    static final int METRICS_PORT = 9_464;
     private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(2);
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
@@ -49,9 +54,19 @@
         this.host = host;
         this.graceSeconds = graceSeconds;
         this.output = directory.resolve(name + "-" + host + ".log");
+        List<String> command = command(HEAP_MEGABYTES, Main.ENTRY);
+        ProcessBuilder builder =
+                new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(output.toFile());
+        builder.environment().put("JASMINEHUB_BOOT", settings.toString());
+        process = builder.start();
+        process.onExit().thenRun(() -> endedNanos = System.nanoTime());
+    }
+
+    /** Returns the command that runs the program for {@code role} with the options of the deploy file. */
+    static List<String> command(int heapMegabytes, String role) {
         List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xmx160m",
+                "-Xmx" + heapMegabytes + "m",
                 "-Xss512k",
                 "-XX:+UseSerialGC",
                 "-XX:-UsePerfData",
@@ -63,12 +78,8 @@
                 JAR == null
                         ? List.of("-cp", System.getProperty("java.class.path"), Main.class.getName())
                         : List.of("-jar", JAR));
-        command.add(Main.ENTRY);
-        ProcessBuilder builder =
-                new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(output.toFile());
-        builder.environment().put("JASMINEHUB_BOOT", settings.toString());
-        process = builder.start();
-        process.onExit().thenRun(() -> endedNanos = System.nanoTime());
+        command.add(role);
+        return command;
     }
 
     /** Starts an entry instance whose settings are written to {@code directory}; returns before it listens. */
@@ -109,16 +120,21 @@
         return "127." + (1 + ProcessHandle.current().pid() % 250) + "." + number / 250 + "." + (1 + number % 250);
     }
 
-    /** Returns the settings of an instance with the given grace time. */
+    /** Returns the settings of an instance with the given grace time on a machine of the usual size. */
     static String settings(String name, String host, double graceSeconds, String storeAddress) {
+        return settings(name, host, graceSeconds, storeAddress, DESCRIPTORS);
+    }
+
+    /** Returns the settings of an instance that may open {@code descriptors} descriptors. */
+    static String settings(String name, String host, double graceSeconds, String storeAddress, int descriptors) {
         return """
                 instance: "%s"
                 failureDomain: "a"
                 callerAddress: "%s:%d"
-                readinessAddress: "%s:8220"
-                directoryAddress: "%s:8224"
-                peerAddress: "%s:8229"
-                metricsPort: 9464
+                readinessAddress: "%s:%d"
+                directoryAddress: "%s:%d"
+                peerAddress: "%s:%d"
+                metricsPort: %d
                 agentPort: 7355
                 seeds: []
                 storeAddress: "%s"
@@ -131,11 +147,24 @@
                 repeatRatio: 0.2
                 repeatReserve: 88
                 repeatWindowSeconds: 10
-                """.formatted(name, host, CALLER_PORT, host, host, host, storeAddress, graceSeconds)
+                """.formatted(
+                                name,
+                                host,
+                                CALLER_PORT,
+                                host,
+                                READINESS_PORT,
+                                host,
+                                DIRECTORY_PORT,
+                                host,
+                                PEER_PORT,
+                                METRICS_PORT,
+                                storeAddress,
+                                graceSeconds)
                 + (JAR == null || !Boolean.getBoolean("jasminehub.soak.noCapacity")
                         ? "capacity:\n  sharedQueuesMinInstances: 40\n  crossDomainCost: 0.25\n"
                                 + "  homeDomainMinEndpoints: 6\n"
-                        : "");
+                        : "")
+                + "clients:\n  memoryShare: 0.3\n";
     }
 
     @Override
--- a/gateway/src/test/java/org/jasminehub/gateway/InMemoryStore.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/InMemoryStore.java
@@ -108,7 +108,7 @@
     }
 
     private static String key(CallerRequest request) {
-        ByteBuffer buffer = ByteBuffer.wrap(request.body());
+        ByteBuffer buffer = ByteBuffer.wrap(request.body().toByteArray());
         buffer.getInt();
         byte[] key = new byte[buffer.get()];
         buffer.get(key);
@@ -138,7 +138,7 @@
         if (query.path().equals("/log-newest")) {
             respond(answer, HttpResponseStatus.OK, newest(log));
         } else if (HttpMethod.POST.equals(request.method())) {
-            append(log, request.body());
+            append(log, request.body().toByteArray());
             respond(answer, HttpResponseStatus.OK, "{\"offset\":0,\"end\":1}".getBytes(StandardCharsets.UTF_8));
         } else {
             long wait = query.parameters().containsKey("wait_ms")
--- a/gateway/src/test/java/org/jasminehub/gateway/PeersTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/PeersTest.java
@@ -66,7 +66,8 @@
                         0.2,
                         60,
                         10,
-                        CapacitySettings.OFF),
+                        CapacitySettings.OFF,
+                        GatewayHarness.CLIENTS),
                 new SystemClock(),
                 event -> {},
                 new MetricRegistry());
--- a/gateway/src/test/java/org/jasminehub/gateway/StopSequenceTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/StopSequenceTest.java
@@ -56,7 +56,8 @@
                 0.2,
                 60,
                 10,
-                CapacitySettings.OFF);
+                CapacitySettings.OFF,
+                GatewayHarness.CLIENTS);
     }
 
     /** Advances the clock until the sequence has ended or its grace time is over. */
--- a/gateway/src/test/java/org/jasminehub/gateway/StoreCallsTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/StoreCallsTest.java
@@ -103,7 +103,8 @@
                         0.2,
                         60,
                         10,
-                        CapacitySettings.OFF),
+                        CapacitySettings.OFF,
+                        GatewayHarness.CLIENTS),
                 new SystemClock(),
                 event -> {},
                 registry);
--- a/gateway/src/test/java/org/jasminehub/gateway/experts/GroupStandin.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/experts/GroupStandin.java
@@ -149,7 +149,7 @@
                     HttpResponseStatus.OK,
                     "{\"map\":{\"version\":" + rank.map + ",\"experts\":[" + rank.experts + "]}}");
         } else {
-            boolean isAccepted = apply(rank, parse(request.body()));
+            boolean isAccepted = apply(rank, parse(request.body().toByteArray()));
             if (unansweredOrders > 0) {
                 unansweredOrders--;
             } else {
