Bound the connections of clients and close idle ones beyond the bound

Cause: nothing bounded the connections of any listener; only time-outs ended them, and such clients come back.

Beyond its share, ConnectionLimiter closes the connection without a response that made no progress for longest; one with a request in process is never closed.

--- a/gateway/src/main/java/org/jasminehub/gateway/ClientResources.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/ClientResources.java
@@ -8,22 +8,33 @@
 
 /** What the clients of all listeners of a process together may use up. */
 final class ClientResources {
+    private final ClientSettings settings;
     private final MemoryBudget memory;
 
     ClientResources(ClientSettings settings, Clock clock) {
+        this.settings = settings;
         this.memory = new MemoryBudget(settings.memoryBytes(Runtime.getRuntime().maxMemory()), clock);
     }
 
-    ServerResources forListener() {
-        return new ServerResources(memory);
+    ServerResources forCallers() {
+        return new ServerResources(memory, settings.callerConnections());
     }
 
-    /** Registers what clients hold, and each kind of refusal. */
+    ServerResources forDirectory() {
+        return new ServerResources(memory, settings.directoryConnections());
+    }
+
+    ServerResources forOperations() {
+        return new ServerResources(memory, settings.operationsConnections());
+    }
+
+    /** Registers what clients hold, and each kind of refusal, including the connections that {@code traffic} closed. */
     void register(MetricRegistry metrics, EntryTraffic traffic) {
         metrics.register("clients.memory.limit.bytes", (Gauge<Long>) memory::totalBytes);
         metrics.register("clients.memory.held.bytes", (Gauge<Long>) memory::heldBytes);
         metrics.register("clients.memory.refused", (Gauge<Long>) memory::refusals);
         metrics.register("clients.memory.evicted", (Gauge<Long>) memory::evictions);
         metrics.register("clients.connections", (Gauge<Integer>) traffic::connections);
+        metrics.register("clients.connections.closed", (Gauge<Long>) traffic::connectionsOverLimit);
     }
 }
--- a/gateway/src/main/java/org/jasminehub/gateway/EntryTraffic.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryTraffic.java
@@ -38,7 +38,7 @@
         this.malformed = new MalformedRequestLog(events, configuration);
         this.calls = calls;
         this.resources = resources;
-        this.callers = start(callerAddress, resources.forListener(), handler);
+        this.callers = start(callerAddress, resources.forCallers(), handler);
     }
 
     private CallerServer start(String address, ServerResources allowed, CallerHandler handler) {
@@ -49,9 +49,9 @@
     /** Listens for address look-ups of callers, readiness probes and requests for metrics. */
     void listenForOthers(GatewaySettings settings, CallerHandler directory, CallerHandler metrics) {
         String metricsAddress = EndpointAddress.parse(settings.peerAddress()).host() + ":" + settings.metricsPort();
-        others.add(start(settings.readinessAddress(), resources.forListener(), directory));
-        others.add(start(settings.directoryAddress(), resources.forListener(), directory));
-        others.add(start(metricsAddress, resources.forListener(), metrics));
+        others.add(start(settings.readinessAddress(), resources.forOperations(), directory));
+        others.add(start(settings.directoryAddress(), resources.forDirectory(), directory));
+        others.add(start(metricsAddress, resources.forOperations(), metrics));
     }
 
     /** Returns the port that callers connect to. */
@@ -59,6 +59,12 @@
         return callers.port();
     }
 
+    /** Returns how many connections were closed because their listener had too many. */
+    long connectionsOverLimit() {
+        return callers.connectionsOverLimit()
+                + others.stream().mapToLong(CallerServer::connectionsOverLimit).sum();
+    }
+
     /** Makes every response whose head is not sent yet the last one on its connection. */
     void disableKeepAlive() {
         callers.disableKeepAlive();
--- a/gateway/src/main/java/org/jasminehub/gateway/Rehearsal.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/Rehearsal.java
@@ -126,6 +126,7 @@
                   homeDomainMinEndpoints: 0
                 clients:
                   memoryShare: 0.3
+                  fileDescriptors: 4096
                 """.formatted(HOST, callerPort, freePort(), platformPort);
     }
 
--- a/gateway/src/main/java/org/jasminehub/gateway/net/CallerConnection.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/CallerConnection.java
@@ -134,7 +134,9 @@
             refuse(context, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
             return;
         }
-        account.onTransferred(bytes);
+        if (account.onTransferred(bytes)) {
+            server.onProgress(context.channel());
+        }
         if (!body.append(content.content())) {
             refuseForMemory(context);
             return;
@@ -162,6 +164,7 @@
         head = null;
         stopTimer();
         account.setEvictable(false);
+        server.onRequest(context.channel());
         ResponseWriter response = new ResponseWriter(
                 context,
                 this,
@@ -255,6 +258,7 @@
         exchange = null;
         body.release();
         account.setEvictable(true);
+        server.onResponse(context.channel());
         if (closes) {
             closeAfterCaller(context);
             return;
--- a/gateway/src/main/java/org/jasminehub/gateway/net/CallerServer.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/CallerServer.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
+import org.jasminehub.core.intake.ConnectionLimiter;
 import org.jasminehub.core.serving.CallerLimits;
 import org.jasminehub.platform.PlatformException;
 import org.jasminehub.runtime.time.SystemClock;
@@ -41,6 +42,7 @@
     private final CallerHandler handler;
     private final BiConsumer<Integer, String> onMalformed;
     private final Set<Channel> open = new HashSet<>();
+    private final ConnectionLimiter<Channel> limiter;
     private final Channel listening;
     private int refusals;
     private boolean isStopping;
@@ -53,6 +55,7 @@
             CallerHandler handler,
             BiConsumer<Integer, String> onMalformed) {
         this.resources = resources;
+        this.limiter = new ConnectionLimiter<>(resources.maxConnections());
         this.handler = handler;
         this.onMalformed = onMalformed;
         ChannelFuture binding = BoundedReads.applyTo(new ServerBootstrap())
@@ -114,6 +117,11 @@
         return open.size();
     }
 
+    /** Returns how many connections were closed because there were too many. */
+    public long connectionsOverLimit() {
+        return limiter.closed();
+    }
+
     /** Returns the number of connections with a request that was read and has no completely written response yet. */
     public int unansweredConnections() {
         return (int) open.stream()
@@ -180,9 +188,23 @@
 
     void onOpened(Channel channel) {
         open.add(channel);
+        limiter.add(channel).ifPresent(Channel::close);
+    }
+
+    void onProgress(Channel channel) {
+        limiter.onProgress(channel);
+    }
+
+    void onRequest(Channel channel) {
+        limiter.onRequest(channel);
+    }
+
+    void onResponse(Channel channel) {
+        limiter.onResponse(channel);
     }
 
     void onClosed(Channel channel) {
         open.remove(channel);
+        limiter.remove(channel);
     }
 }
