Bound what is read after a refusal only to be discarded

Cause: after a refusal, all that the client still sends is discarded for up to a second, so that closing the connection does not reset it before the client has read the refusal. Nothing but that time bounded the bytes.

Change: at most eight bodies of the limit for each connection, as much as CallerServerTest#testACallerThatSendsItsWholeBodyBeforeItReadsGetsTheRefusal asks for, and 64 MiB a second for the process; then the connection is closed.

After the whole series: passes.

--- a/gateway/src/main/java/org/jasminehub/gateway/ClientResources.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/ClientResources.java
@@ -2,30 +2,36 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import org.jasminehub.core.intake.DiscardAllowance;
 import org.jasminehub.core.intake.MemoryBudget;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.gateway.net.ServerResources;
 
 /** What the clients of all listeners of a process together may use up. */
 final class ClientResources {
+    /** More than callers whose bodies exceed the limit need, and a small part of what a processor can read. */
+    private static final long DISCARDED_BYTES_PER_SECOND = 64 << 20;
+
     private final ClientSettings settings;
     private final MemoryBudget memory;
+    private final DiscardAllowance discards;
 
     ClientResources(ClientSettings settings, Clock clock) {
         this.settings = settings;
         this.memory = new MemoryBudget(settings.memoryBytes(Runtime.getRuntime().maxMemory()), clock);
+        this.discards = new DiscardAllowance(DISCARDED_BYTES_PER_SECOND, clock);
     }
 
     ServerResources forCallers() {
-        return new ServerResources(memory, settings.callerConnections());
+        return new ServerResources(memory, discards, settings.callerConnections());
     }
 
     ServerResources forDirectory() {
-        return new ServerResources(memory, settings.directoryConnections());
+        return new ServerResources(memory, discards, settings.directoryConnections());
     }
 
     ServerResources forOperations() {
-        return new ServerResources(memory, settings.operationsConnections());
+        return new ServerResources(memory, discards, settings.operationsConnections());
     }
 
     /** Registers what clients hold, and each kind of refusal, including the connections that {@code traffic} closed. */
@@ -34,6 +40,7 @@
         metrics.register("clients.memory.held.bytes", (Gauge<Long>) memory::heldBytes);
         metrics.register("clients.memory.refused", (Gauge<Long>) memory::refusals);
         metrics.register("clients.memory.evicted", (Gauge<Long>) memory::evictions);
+        metrics.register("clients.discards.refused", (Gauge<Long>) discards::refusals);
         metrics.register("clients.connections", (Gauge<Integer>) traffic::connections);
         metrics.register("clients.connections.closed", (Gauge<Long>) traffic::connectionsOverLimit);
     }
--- a/gateway/src/main/java/org/jasminehub/gateway/net/CallerConnection.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/CallerConnection.java
@@ -35,6 +35,12 @@
     /** Time for a caller to read the rest of the last response and to close the connection. */
     private static final long LINGER_MILLIS = 1_000;
 
+    /**
+     * Bodies of the largest size that are discarded after a refusal. A caller that sends more before it reads may lose the
+     * refusal, because its connection is reset.
+     */
+    private static final long MAX_DISCARDED_BODIES = 8;
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final CallerServer server;
@@ -42,6 +48,7 @@
     private final MemoryAccount account;
     private final StrictRequestDecoder decoder;
     private final IncomingBody body;
+    private long discardedBytes;
     private @Nullable ChannelHandlerContext connectionContext;
     private @Nullable HttpRequest head;
     private @Nullable CallerExchange exchange;
@@ -150,7 +157,7 @@
     public void channelReadComplete(ChannelHandlerContext context) {
         if (head != null && !body.isKept() && !isClosing) {
             // The response does not depend on the body, so the caller gets it without sending the rest.
-            decoder.discard(bytes -> true);
+            decoder.discard(this::mayDiscard);
             dispatch(context, true);
         }
     }
@@ -203,7 +210,7 @@
         isClosing = true;
         head = null;
         body.release();
-        decoder.discard(bytes -> true);
+        decoder.discard(this::mayDiscard);
         server.onMalformed(status.code(), reason);
         context.writeAndFlush(refusal(status, reason)).addListener(written -> closeAfterCaller(context));
     }
@@ -280,7 +287,7 @@
      */
     private void closeAfterCaller(ChannelHandlerContext context) {
         isClosing = true;
-        decoder.discard(bytes -> true);
+        decoder.discard(this::mayDiscard);
         startTimer(context, LINGER_MILLIS);
         context.channel().config().setAutoRead(true);
         if (context.channel() instanceof DuplexChannel channel) {
@@ -288,6 +295,12 @@
         }
     }
 
+    private boolean mayDiscard(int bytes) {
+        discardedBytes += bytes;
+        return discardedBytes <= MAX_DISCARDED_BODIES * limits.bodyBytes()
+                && server.resources().discards().tryUse(bytes);
+    }
+
     /** Closes the connection after {@code millis} unless the timer is stopped or restarted before. */
     private void startTimer(ChannelHandlerContext context, long millis) {
         stopTimer();
--- a/gateway/src/test/java/org/jasminehub/gateway/ClientBodiesProcessTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/ClientBodiesProcessTest.java
@@ -1,7 +1,10 @@
 package org.jasminehub.gateway;
 
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import org.junit.jupiter.api.Nested;
@@ -108,6 +111,34 @@
         }
     }
 
+    /** Guards against refusals that cost more than the request: what a client sends after them has to be read. */
+    @Nested
+    final class BytesAfterARefusal extends LimitedEntryFixture {
+        private static final long ANNOUNCED_BYTES = 1L << 30;
+
+        /** Several times what a client may send with a body of the largest size, and what sockets buffer. */
+        private static final long MAX_SENT_BYTES = 16L * BODY_BYTES;
+
+        @Test
+        void testABodyFarOverTheLimitIsNotReadToItsEnd() throws Exception {
+            byte[] head =
+                    ascii(head("/ordinary/x", GatewayFixture.KEY) + "Content-Length: " + ANNOUNCED_BYTES + "\r\n\r\n");
+            byte[] part = filled(PART_BYTES);
+            long sentBytes = 0;
+            try (Socket client = connect(GatewayProcess.CALLER_PORT)) {
+                client.getOutputStream().write(head);
+                while (sentBytes < ANNOUNCED_BYTES) {
+                    client.getOutputStream().write(part);
+                    sentBytes += part.length;
+                }
+            } catch (IOException e) {
+                // Closed by the process, as it should.
+            }
+
+            assertTrue(sentBytes <= MAX_SENT_BYTES, "sent bytes: " + sentBytes);
+        }
+    }
+
     @Nested
     final class OtherPorts extends LimitedEntryFixture {
         @Test
