Bound the memory and connections of peers that connect to a process

Seen: 200 connections to the port for peers, each with a message of 1 MB that stops short of its end, used up the memory outside the heap. The error was caught and not logged, and all connections of the process were at its mercy.

Cause: each connection could hold an incomplete message of up to 4 MiB and as much unread output; nothing bounded them together. A message that is parsed occupies more than twenty times its bytes if it consists of empty entries.

Change: incomplete messages and unread output of accepted connections count as memory of clients. The largest message is 1 MiB for entry instances (the largest configuration record has 256 KiB) and 256 KiB for rank agents, whose heap has 24 MB.

--- a/gateway/src/main/java/org/jasminehub/gateway/ClientResources.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/ClientResources.java
@@ -6,6 +6,8 @@
 import org.jasminehub.core.intake.MemoryBudget;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.gateway.net.ServerResources;
+import org.jasminehub.gateway.peer.PeerConnection;
+import org.jasminehub.gateway.peer.PeerLimits;
 
 /** What the clients of all listeners of a process together may use up. */
 final class ClientResources {
@@ -34,6 +36,10 @@
         return new ServerResources(memory, discards, settings.operationsConnections());
     }
 
+    PeerLimits forPeers() {
+        return new PeerLimits(memory, settings.peerConnections(), PeerConnection.MAX_MESSAGE_BYTES);
+    }
+
     /** Registers what clients hold, and each kind of refusal, including the connections that {@code traffic} closed. */
     void register(MetricRegistry metrics, EntryTraffic traffic) {
         metrics.register("clients.memory.limit.bytes", (Gauge<Long>) memory::totalBytes);
--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -239,7 +239,7 @@
         opened.listenForOthers(settings, directory, new MetricsHandler(metrics));
         registerGauges();
         resources.register(metrics, opened);
-        PeerServer.start(loop, EndpointAddress.parse(settings.peerAddress()), peers);
+        PeerServer.start(loop, EndpointAddress.parse(settings.peerAddress()), peers, resources.forPeers());
         loop.execute(() -> {
             evacuations.start(endpoints, peers::addExtension);
             configuration.start(this::onConfigurationApplied);
--- a/gateway/src/main/java/org/jasminehub/gateway/RankAgentProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/RankAgentProgram.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.jasminehub.core.era.EraTracker;
 import org.jasminehub.core.event.EventSink;
+import org.jasminehub.core.intake.MemoryBudget;
 import org.jasminehub.core.time.Clock;
 import org.jasminehub.gateway.control.ControlEvent;
 import org.jasminehub.gateway.control.ControlEventKind;
@@ -17,13 +18,24 @@
 import org.jasminehub.gateway.net.EndpointAddress;
 import org.jasminehub.gateway.net.EndpointClient;
 import org.jasminehub.gateway.net.StoreConnection;
+import org.jasminehub.gateway.peer.PeerLimits;
 import org.jasminehub.gateway.peer.PeerServer;
 import org.jasminehub.platform.hosted.StoreClient;
 import org.jasminehub.wire.generated.InstanceRecord;
 
 /** The rank agent: a process that runs beside a model engine and to which coordinators connect. */
 final class RankAgentProgram {
+    /** The share of the heap that peers may use; the rest is for the agent's state and for garbage. */
+    private static final double PEERS_MEMORY_SHARE = 0.2;
+
+    /** Several times the largest order, which holds an expert map; a parsed message needs a multiple of its size. */
+    private static final int MAX_MESSAGE_BYTES = 256 << 10;
+
+    /** More than the entry instances that are coordinators at the same time, which is one at most times. */
+    private static final int MAX_CONNECTIONS = 64;
+
     private final RankAgentSettings settings;
+    private final Clock clock;
     private final EventLoop loop;
     private final EventSink events;
     private final InstanceRegistration registration;
@@ -31,6 +43,7 @@
 
     RankAgentProgram(RankAgentSettings settings, Clock clock, EventSink events) {
         this.settings = settings;
+        this.clock = clock;
         this.events = events;
         this.loop =
                 new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("agent"), NioIoHandler.newFactory()).next();
@@ -59,7 +72,9 @@
     }
 
     void start() {
-        PeerServer.start(loop, new EndpointAddress(settings.host(), settings.agentPort()), agent);
+        long memoryBytes = (long) (PEERS_MEMORY_SHARE * Runtime.getRuntime().maxMemory());
+        PeerLimits limits = new PeerLimits(new MemoryBudget(memoryBytes, clock), MAX_CONNECTIONS, MAX_MESSAGE_BYTES);
+        PeerServer.start(loop, new EndpointAddress(settings.host(), settings.agentPort()), agent, limits);
         loop.execute(() -> {
             registration.registerWithoutEra();
             agent.start();
--- a/gateway/src/main/java/org/jasminehub/gateway/peer/PeerConnection.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/peer/PeerConnection.java
@@ -1,6 +1,7 @@
 package org.jasminehub.gateway.peer;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
@@ -9,6 +10,7 @@
 import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import java.util.concurrent.TimeUnit;
+import org.jasminehub.core.intake.MemoryAccount;
 import org.jasminehub.wire.generated.PeerEnvelope;
 import org.jspecify.annotations.Nullable;
 
@@ -18,7 +20,7 @@
     private static final long SILENCE_MILLIS = 1_500;
 
     /** Several times the largest message; a connection with a larger one is closed. */
-    private static final int MAX_MESSAGE_BYTES = 4 << 20;
+    public static final int MAX_MESSAGE_BYTES = 1 << 20;
 
     /**
      * Limit on the bytes queued for a peer that does not read, above which the connection is closed. Not below the size of
@@ -27,22 +29,41 @@
     private static final int MAX_PENDING_BYTES = MAX_MESSAGE_BYTES;
 
     private final PeerListener listener;
+
+    /** The memory of a peer that has connected to this process; null for one that this process connects to. */
+    private final @Nullable MemoryAccount account;
+
     private @Nullable Channel channel;
 
-    PeerConnection(PeerListener listener) {
+    private PeerConnection(PeerListener listener, @Nullable MemoryAccount account) {
         this.listener = listener;
+        this.account = account;
     }
 
     /** Adds the protocol handlers to {@code channel}; its messages are passed to {@code listener}. */
     static void install(Channel channel, PeerListener listener) {
+        install(channel, new ProtobufVarint32FrameDecoder(MAX_MESSAGE_BYTES), new PeerConnection(listener, null));
+    }
+
+    /** Adds the protocol handlers to a channel that was accepted and is subject to {@code limits}. */
+    static void installAccepted(Channel channel, PeerListener listener, PeerLimits limits) {
+        MemoryAccount account = limits.memory().open(channel::close);
+        channel.closeFuture().addListener(closed -> account.close());
+        install(
+                channel,
+                new PeerFrameDecoder(limits.maxMessageBytes(), account),
+                new PeerConnection(listener, account));
+    }
+
+    private static void install(Channel channel, ChannelHandler frameDecoder, PeerConnection connection) {
         channel.pipeline()
                 .addLast(
                         new ReadTimeoutHandler(SILENCE_MILLIS, TimeUnit.MILLISECONDS),
-                        new ProtobufVarint32FrameDecoder(MAX_MESSAGE_BYTES),
+                        frameDecoder,
                         new ProtobufDecoder(PeerEnvelope.getDefaultInstance()),
                         new ProtobufVarint32LengthFieldPrepender(),
                         new ProtobufEncoder(),
-                        new PeerConnection(listener));
+                        connection);
     }
 
     /** Sends {@code message}, or closes the connection if too many bytes are queued because the peer does not read. */
@@ -56,7 +77,17 @@
             open.close();
             return;
         }
-        open.writeAndFlush(message);
+        MemoryAccount held = account;
+        if (held == null) {
+            open.writeAndFlush(message);
+            return;
+        }
+        int bytes = message.getSerializedSize();
+        if (!held.tryReserve(bytes)) {
+            open.close();
+            return;
+        }
+        open.writeAndFlush(message).addListener(written -> held.release(bytes));
     }
 
     /** Closes the connection. */
--- a/gateway/src/test/java/org/jasminehub/gateway/GatewayProcess.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/GatewayProcess.java
@@ -167,6 +167,18 @@
                 + "clients:\n  memoryShare: 0.3\n  fileDescriptors: " + descriptors + "\n";
     }
 
+    /** Returns the settings of a rank agent. */
+    static String agentSettings(String name, String host, int port, String engineAddress, String storeAddress) {
+        return """
+                instance: "%s"
+                failureDomain: "a"
+                host: "%s"
+                agentPort: %d
+                engineAddress: "%s"
+                storeAddress: "%s"
+                """.formatted(name, host, port, engineAddress, storeAddress);
+    }
+
     @Override
     public String name() {
         return name;
--- a/gateway/src/test/java/org/jasminehub/gateway/experts/ExpertPlacementTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/experts/ExpertPlacementTest.java
@@ -22,6 +22,7 @@
 import org.jasminehub.core.event.EventSink;
 import org.jasminehub.core.identity.EndpointId;
 import org.jasminehub.core.identity.FailureDomain;
+import org.jasminehub.core.intake.MemoryBudget;
 import org.jasminehub.core.serving.EndpointRecord;
 import org.jasminehub.core.serving.ExpertLayout;
 import org.jasminehub.core.serving.GroupSeat;
@@ -31,6 +32,8 @@
 import org.jasminehub.gateway.net.EndpointAddress;
 import org.jasminehub.gateway.net.EndpointClient;
 import org.jasminehub.gateway.net.ExchangeMonitor;
+import org.jasminehub.gateway.peer.PeerConnection;
+import org.jasminehub.gateway.peer.PeerLimits;
 import org.jasminehub.gateway.peer.PeerServer;
 import org.jasminehub.platform.hosted.ResponseHeadersAdapter;
 import org.jasminehub.runtime.time.SystemClock;
@@ -48,6 +51,9 @@
     private static final int HOT = 0;
     private static final ExpertLayout LAYOUT = new ExpertLayout(1, EXPERTS, 4, 2, 1, 0.85);
 
+    private static final PeerLimits PEER_LIMITS =
+            new PeerLimits(new MemoryBudget(1 << 20, new SystemClock()), 16, PeerConnection.MAX_MESSAGE_BYTES);
+
     private final Clock clock = new SystemClock();
     private final EventSink events = event -> {};
     private final List<PeerServer> agentServers = new ArrayList<>();
@@ -74,7 +80,7 @@
             BufferedHttpClient engine =
                     new BufferedHttpClient(new EndpointClient(loop, clock), group.address(rank), "engine");
             RankAgentService agent = new RankAgentService(loop, clock, engine, events, new EraTracker(clock));
-            PeerServer server = PeerServer.start(loop, new EndpointAddress("127.0.0.1", 0), agent);
+            PeerServer server = PeerServer.start(loop, new EndpointAddress("127.0.0.1", 0), agent, PEER_LIMITS);
             loop.execute(agent::start);
             agentServers.add(server);
             agents.add(InstanceRecord.newBuilder()
