Write large request bodies to endpoints in parts

Cause: a body in the heap that is written to a connection is copied to memory outside the heap as a whole and stays there until the endpoint has read it, so a call at an endpoint that does not read held its body twice.

Change: RequestWriter writes bodies of over 64 KiB in parts while the connection is writable, and lets other connections be served in between.

Found while measuring what bodies hold; guarded by RequestWriterTest.

--- a/gateway/src/main/java/org/jasminehub/gateway/net/EndpointConnection.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/EndpointConnection.java
@@ -33,6 +33,7 @@
     private final Consumer<EndpointConnection> onReusable;
     private @Nullable Channel channel;
     private @Nullable ResponseSink sink;
+    private @Nullable RequestWriter requestWriter;
     private ExchangeMonitor monitor = ExchangeMonitor.NONE;
     /** The body bytes of the current read, so that the sink gets one part however many chunks the read contains. */
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
@@ -97,7 +98,9 @@
             fail(ExchangeFailure.NOT_CONNECTED);
             return;
         }
-        open.writeAndFlush(request).addListener(written -> {
+        RequestWriter writer = new RequestWriter(open, request);
+        requestWriter = writer;
+        writer.start().addListener(written -> {
             isRequestWritten = written.isSuccess();
             if (!written.isSuccess()) {
                 fail(ExchangeFailure.CUT);
@@ -221,6 +224,14 @@
         }
     }
 
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        RequestWriter writer = requestWriter;
+        if (writer != null) {
+            writer.writeParts();
+        }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         // A reset, or bytes that the decoder rejects: no later byte on this connection can be interpreted reliably.
