Shorten request ids in events that wait for the log

Up to 2,048 events wait in memory while standard output is blocked, and each held the request id as the caller sent it, which may be as long as the head of a request (16 KiB): 30 MB instead of less than 1 MB. Events now hold 200 characters of it.

--- a/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
@@ -141,7 +141,7 @@
         call.dispatcher()
                 .events()
                 .emit(new AttemptFailed(
-                        call.context().requestId(),
+                        call.context().loggedRequestId(),
                         endpoint.id().value(),
                         end,
                         reason,
--- a/gateway/src/main/java/org/jasminehub/gateway/call/CallContext.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/CallContext.java
@@ -9,6 +9,9 @@
 
 /** The state of a call that the filters build up; each filter adds to it. */
 final class CallContext {
+    /** Several times the length of usual ids; a caller may send one as long as its headers may be. */
+    private static final int MAX_LOGGED_ID_LENGTH = 200;
+
     final CallerRequest request;
     final long arrivedMillis;
 
@@ -33,6 +36,12 @@
         this.arrivedMillis = arrivedMillis;
     }
 
+    /** Returns the id for log lines, which wait in memory while standard output is blocked. */
+    String loggedRequestId() {
+        String id = requestId();
+        return id.length() <= MAX_LOGGED_ID_LENGTH ? id : id.substring(0, MAX_LOGGED_ID_LENGTH);
+    }
+
     String requestId() {
         return headers == null || headers.requestId() == null ? "" : headers.requestId();
     }
--- a/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
@@ -338,7 +338,7 @@
                 .events()
                 .emit(new CallEnded(
                         kind,
-                        context.requestId(),
+                        context.loggedRequestId(),
                         context.route == null ? "" : context.route.name(),
                         grant == null ? "" : grant.workspace().value(),
                         status,
