--- a/bench/src/main/java/org/jasminehub/bench/capacity/HeapCosts.java
+++ b/bench/src/main/java/org/jasminehub/bench/capacity/HeapCosts.java
@@ -1,7 +1,14 @@
 package org.jasminehub.bench.capacity;
 
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestDecoder;
 import java.lang.management.ManagementFactory;
 import java.lang.ref.Reference;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -22,6 +29,7 @@
 import org.jasminehub.core.membership.MembershipSettings;
 import org.jasminehub.core.membership.MembershipView;
 import org.jasminehub.core.routing.LoadReport;
+import org.jasminehub.platform.hosted.CallHeadersAdapter;
 
 /**
  * Measures the heap per item of state.
@@ -45,6 +53,7 @@
         results.add(measureCost("heap for each document of 10 workspaces (parsed)", HeapCosts::documents));
         results.add(measureCost("heap for each document of 10 workspaces (text)", HeapCosts::documentTexts));
         results.add(measureCost("heap for each lease shard", HeapCosts::leaseShards));
+        results.add(measureCost("heap for each field of a request's head (5 bytes sent)", HeapCosts::requestFields));
         return results;
     }
 
@@ -125,4 +134,15 @@
         }
         return manager;
     }
+
+    /** Returns the head of a request with {@code count} fields as an entry instance holds it while an endpoint works. */
+    private static Object requestFields(int count) {
+        String text = "GET / HTTP/1.1\r\n" + "a:b\r\n".repeat(count) + "\r\n";
+        HttpDecoderConfig config = new HttpDecoderConfig().setMaxHeaderSize(text.length());
+        EmbeddedChannel channel = new EmbeddedChannel(new HttpRequestDecoder(config));
+        channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+        HttpRequest request = channel.readInbound();
+        HttpHeaders sent = CallHeadersAdapter.forEndpoint(request.headers(), 1, null, "endpoint-1", null);
+        return List.of(request, sent);
+    }
 }
