--- a/bench/src/main/java/org/jasminehub/bench/start/StartBench.java
+++ b/bench/src/main/java/org/jasminehub/bench/start/StartBench.java
@@ -159,7 +159,6 @@
                   homeDomainMinEndpoints: 0
                 clients:
                   memoryShare: 0.3
-                  fileDescriptors: 4096
                 """.formatted(HOST, callerPort, freePort());
     }
 
--- a/gateway/src/main/java/org/jasminehub/gateway/ClientResources.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/ClientResources.java
@@ -14,30 +14,30 @@
     /** More than callers whose bodies exceed the limit need, and a small part of what a processor can read. */
     private static final long DISCARDED_BYTES_PER_SECOND = 64 << 20;
 
-    private final ClientSettings settings;
+    private final DescriptorShares descriptors;
     private final MemoryBudget memory;
     private final DiscardAllowance discards;
 
-    ClientResources(ClientSettings settings, Clock clock) {
-        this.settings = settings;
+    ClientResources(ClientSettings settings, DescriptorShares descriptors, Clock clock) {
+        this.descriptors = descriptors;
         this.memory = new MemoryBudget(settings.memoryBytes(Runtime.getRuntime().maxMemory()), clock);
         this.discards = new DiscardAllowance(DISCARDED_BYTES_PER_SECOND, clock);
     }
 
     ServerResources forCallers() {
-        return new ServerResources(memory, discards, settings.callerConnections());
+        return new ServerResources(memory, discards, descriptors.callerConnections());
     }
 
     ServerResources forDirectory() {
-        return new ServerResources(memory, discards, settings.directoryConnections());
+        return new ServerResources(memory, discards, descriptors.directoryConnections());
     }
 
     ServerResources forOperations() {
-        return new ServerResources(memory, discards, settings.operationsConnections());
+        return new ServerResources(memory, discards, descriptors.operationsConnections());
     }
 
     PeerLimits forPeers() {
-        return new PeerLimits(memory, settings.peerConnections(), PeerConnection.MAX_MESSAGE_BYTES);
+        return new PeerLimits(memory, descriptors.peerConnections(), PeerConnection.MAX_MESSAGE_BYTES);
     }
 
     /** Registers what clients hold, and each kind of refusal, including the connections that {@code traffic} closed. */
--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -232,7 +232,7 @@
                 new CallSettings((long) (settings.revocationMillis() * FRESH_SHARE)),
                 stopSequence,
                 dispatcher);
-        ClientResources resources = new ClientResources(settings.clients(), clock);
+        ClientResources resources = new ClientResources(settings.clients(), DescriptorShares.ofProcess(), clock);
         EntryTraffic opened = new EntryTraffic(
                 loop, configuration, events, dispatcher, resources, settings.callerAddress(), pipeline);
         DirectoryHandler directory = new DirectoryHandler(() -> isReady, peers::acceptingInstances, settings);
--- a/gateway/src/main/java/org/jasminehub/gateway/Rehearsal.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/Rehearsal.java
@@ -126,7 +126,6 @@
                   homeDomainMinEndpoints: 0
                 clients:
                   memoryShare: 0.3
-                  fileDescriptors: 4096
                 """.formatted(HOST, callerPort, freePort(), platformPort);
     }
 
--- a/gateway/src/test/java/org/jasminehub/gateway/GatewayProcess.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/GatewayProcess.java
@@ -22,7 +22,6 @@
 
     private static final AtomicInteger NEXT_HOST = new AtomicInteger();
     private static final int HEAP_MEGABYTES = 160;
-    private static final int DESCRIPTORS = 4_100;
     static final int CALLER_PORT = 8_227;
     static final int READINESS_PORT = 8_220;
     static final int DIRECTORY_PORT = 8_224;
@@ -120,13 +119,8 @@
         return "127." + (1 + ProcessHandle.current().pid() % 250) + "." + number / 250 + "." + (1 + number % 250);
     }
 
-    /** Returns the settings of an instance with the given grace time on a machine of the usual size. */
+    /** Returns the settings of an instance with the given grace time. */
     static String settings(String name, String host, double graceSeconds, String storeAddress) {
-        return settings(name, host, graceSeconds, storeAddress, DESCRIPTORS);
-    }
-
-    /** Returns the settings of an instance that may open {@code descriptors} descriptors. */
-    static String settings(String name, String host, double graceSeconds, String storeAddress, int descriptors) {
         return """
                 instance: "%s"
                 failureDomain: "a"
@@ -164,7 +158,7 @@
                         ? "capacity:\n  sharedQueuesMinInstances: 40\n  crossDomainCost: 0.25\n"
                                 + "  homeDomainMinEndpoints: 6\n"
                         : "")
-                + "clients:\n  memoryShare: 0.3\n  fileDescriptors: " + descriptors + "\n";
+                + "clients:\n  memoryShare: 0.3\n";
     }
 
     /** Returns the settings of a rank agent. */
--- a/gateway/src/test/java/org/jasminehub/gateway/LimitedEntryFixture.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/LimitedEntryFixture.java
@@ -48,9 +48,7 @@
         register("e-1", "answering", answering.port());
         register("e-2", "silent", silent.port());
         startProcess(
-                Main.ENTRY,
-                HEAP_MEGABYTES,
-                GatewayProcess.settings("entry-1", host, GRACE_SECONDS, store.address(), DESCRIPTORS));
+                Main.ENTRY, HEAP_MEGABYTES, GatewayProcess.settings("entry-1", host, GRACE_SECONDS, store.address()));
     }
 
     private void register(String id, String service, int port) {
--- a/gateway/src/test/java/org/jasminehub/gateway/LimitedProcess.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/LimitedProcess.java
@@ -30,16 +30,19 @@
      * Starts the program for {@code role}; returns before it listens.
      *
      * @param settings the text of its settings file
+     * @param descriptors how many descriptors the process is told to use
      * @param directory where the settings and the log are written
      */
-    static LimitedProcess start(String role, String settings, int heapMegabytes, Path directory) throws IOException {
+    static LimitedProcess start(String role, String settings, int heapMegabytes, int descriptors, Path directory)
+            throws IOException {
         Path settingsFile = directory.resolve(role + ".yaml");
         Files.writeString(settingsFile, settings);
         Path output = directory.resolve(role + ".log");
         List<String> command = GatewayProcess.command(heapMegabytes, role);
         // Also those that are caught and not logged.
         Path exceptions = directory.resolve(role + "-exceptions.log");
-        command.add(command.indexOf("-cp"), "-Xlog:exceptions=info:file=" + exceptions + "::filecount=0");
+        command.add(1, "-D" + DescriptorShares.PROPERTY + "=" + descriptors);
+        command.add(1, "-Xlog:exceptions=info:file=" + exceptions + "::filecount=0");
         ProcessBuilder builder =
                 new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(output.toFile());
         builder.environment().put("JASMINEHUB_BOOT", settingsFile.toString());
--- a/gateway/src/test/java/org/jasminehub/gateway/LimitedProcessFixture.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/LimitedProcessFixture.java
@@ -48,7 +48,7 @@
 
     /** Starts the program for {@code role} and waits until it serves ordinary clients. */
     void startProcess(String role, int heapMegabytes, String settings) throws IOException {
-        process = LimitedProcess.start(role, settings, heapMegabytes, directory);
+        process = LimitedProcess.start(role, settings, heapMegabytes, DESCRIPTORS, directory);
         awaitServing(this::isServing);
     }
 
