Give slow senders the refusal of their request

Callers saw: a caller that sends its body for longer than a second before it reads got a reset instead of the refusal, and so did many at once that send more than 64 MiB a second together.

Cause: the connection was closed a second after the refusal, although bytes still arrived.

Change: the second counts from the last byte, up to the idle timeout and the bound on discarded bytes; the process may discard 128 MiB a second, which is what a link of 1,000 Mbit/s carries. Clients may hold 0.4 of the heap (0.3 before), which is 12 bodies of 4 MiB at a time.

--- a/bench/src/main/java/org/jasminehub/bench/start/StartBench.java
+++ b/bench/src/main/java/org/jasminehub/bench/start/StartBench.java
@@ -158,7 +158,7 @@
                   crossDomainCost: 0
                   homeDomainMinEndpoints: 0
                 clients:
-                  memoryShare: 0.3
+                  memoryShare: 0.4
                 """.formatted(HOST, callerPort, freePort());
     }
 
--- a/gateway/src/main/java/org/jasminehub/gateway/ClientResources.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/ClientResources.java
@@ -11,8 +11,8 @@
 
 /** What the clients of all listeners of a process together may use up. */
 final class ClientResources {
-    /** More than callers whose bodies exceed the limit need, and a small part of what a processor can read. */
-    private static final long DISCARDED_BYTES_PER_SECOND = 64 << 20;
+    /** What a link of 1,000 Mbit/s carries, so that callers on such links get refusals whole. */
+    private static final long DISCARDED_BYTES_PER_SECOND = 128 << 20;
 
     private final DescriptorShares descriptors;
     private final MemoryBudget memory;
--- a/gateway/src/main/java/org/jasminehub/gateway/Rehearsal.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/Rehearsal.java
@@ -125,7 +125,7 @@
                   crossDomainCost: 0
                   homeDomainMinEndpoints: 0
                 clients:
-                  memoryShare: 0.3
+                  memoryShare: 0.4
                 """.formatted(HOST, callerPort, freePort(), platformPort);
     }
 
--- a/gateway/src/main/java/org/jasminehub/gateway/net/CallerConnection.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/CallerConnection.java
@@ -32,7 +32,7 @@
     /** A caller that has just connected or received a response may have sent a request that is still in transit. */
     private static final int IDLE_CHECKS_BEFORE_CLOSE = 10;
 
-    /** Time for a caller to read the rest of the last response and to close the connection. */
+    /** Time for a caller that sends nothing more to read the rest of the last response and to close the connection. */
     private static final long LINGER_MILLIS = 1_000;
 
     /**
@@ -54,6 +54,7 @@
     private @Nullable CallerExchange exchange;
     private @Nullable ResponseWriter writer;
     private @Nullable ScheduledFuture<?> timer;
+    private @Nullable ScheduledFuture<?> lingerLimitTimer;
     private int idleChecks;
     private boolean isClosing;
 
@@ -289,6 +290,7 @@
         isClosing = true;
         decoder.discard(this::mayDiscard);
         startTimer(context, LINGER_MILLIS);
+        lingerLimitTimer = schedule(context, limits.idleTimeoutMillis());
         context.channel().config().setAutoRead(true);
         if (context.channel() instanceof DuplexChannel channel) {
             channel.shutdownOutput();
@@ -297,6 +299,10 @@
 
     private boolean mayDiscard(int bytes) {
         discardedBytes += bytes;
+        if (lingerLimitTimer != null && connectionContext != null) {
+            // Callers that send their whole body before they read get the response, too.
+            startTimer(connectionContext, LINGER_MILLIS);
+        }
         return discardedBytes <= MAX_DISCARDED_BODIES * limits.bodyBytes()
                 && server.resources().discards().tryUse(bytes);
     }
@@ -304,7 +310,11 @@
     /** Closes the connection after {@code millis} unless the timer is stopped or restarted before. */
     private void startTimer(ChannelHandlerContext context, long millis) {
         stopTimer();
-        timer = context.executor().schedule(() -> context.close(), millis, TimeUnit.MILLISECONDS);
+        timer = schedule(context, millis);
+    }
+
+    private static ScheduledFuture<?> schedule(ChannelHandlerContext context, long millis) {
+        return context.executor().schedule(() -> context.close(), millis, TimeUnit.MILLISECONDS);
     }
 
     private void stopTimer() {
@@ -355,6 +365,9 @@
     public void channelInactive(ChannelHandlerContext context) {
         server.onClosed(context.channel());
         stopTimer();
+        if (lingerLimitTimer != null) {
+            lingerLimitTimer.cancel(false);
+        }
         isClosing = true;
         body.release();
         account.close();
--- a/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
@@ -83,7 +83,7 @@
         }
     }
 
-    static final ClientSettings CLIENTS = new ClientSettings(0.3);
+    static final ClientSettings CLIENTS = new ClientSettings(0.4);
 
     private static final String ANY_PORT = "127.0.0.1:0";
 
--- a/gateway/src/test/java/org/jasminehub/gateway/GatewayProcess.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/GatewayProcess.java
@@ -158,7 +158,7 @@
                         ? "capacity:\n  sharedQueuesMinInstances: 40\n  crossDomainCost: 0.25\n"
                                 + "  homeDomainMinEndpoints: 6\n"
                         : "")
-                + "clients:\n  memoryShare: 0.3\n";
+                + "clients:\n  memoryShare: 0.4\n";
     }
 
     /** Returns the settings of a rank agent. */
--- a/gateway/src/test/java/org/jasminehub/gateway/net/CallerServerTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/net/CallerServerTest.java
@@ -20,6 +20,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.jasminehub.core.serving.CallerLimits;
 import org.jasminehub.platform.PlatformException;
 import org.junit.jupiter.api.AfterEach;
@@ -33,6 +34,11 @@
     /** More than the buffers of both ends of a connection hold. */
     private static final int LARGE_BODY_BYTES = 32 << 20;
 
+    /** Together longer than the time for which a server waits for a caller that sends nothing. */
+    private static final int SLOW_PARTS = 6;
+
+    private static final int SLOW_PART_MILLIS = 300;
+
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(
                     1, new DefaultThreadFactory("callers", true), NioIoHandler.newFactory())
             .next();
@@ -117,4 +123,24 @@
             assertTrue(answer.startsWith("HTTP/1.1 413 "), answer);
         }
     }
+
+    /** Guards against a connection that is closed while a refused caller still sends, before it reads the refusal. */
+    @Test
+    void testACallerThatSendsItsBodySlowlyGetsTheRefusal() throws Exception {
+        try (Socket caller = connect((request, response) -> CallerExchange.COMPLETED)) {
+            write(caller, "POST / HTTP/1.1\r\nHost: h.example\r\nContent-Length: " + LARGE_BODY_BYTES + "\r\n\r\n");
+            String answer;
+            try {
+                for (int part = 0; part < SLOW_PARTS; part++) {
+                    LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(SLOW_PART_MILLIS));
+                    write(caller, "part");
+                }
+                answer = read(caller);
+            } catch (SocketException e) {
+                answer = e.toString();
+            }
+
+            assertTrue(answer.startsWith("HTTP/1.1 413 "), answer);
+        }
+    }
 }
