--- a/review/standin-2/review2/AppServer.java
+++ b/review/standin-2/review2/AppServer.java
@@ -24,9 +24,16 @@
     private final Listener listener;
     private final long bornMillis = System.currentTimeMillis();
     private final List<Run> runs = new ArrayList<>();
+    private final int answerBytes;
     private volatile boolean isClosed;
 
     AppServer(String id, String service, String zone, Store store, Record record) throws Exception {
+        this(id, service, zone, store, record, 0);
+    }
+
+    /** Starts a server whose answers to requests for {@code /large-} paths have at least {@code answerBytes}. */
+    AppServer(String id, String service, String zone, Store store, Record record, int answerBytes) throws Exception {
+        this.answerBytes = answerBytes;
         this.id = id;
         this.service = service;
         this.zone = zone;
@@ -80,7 +87,11 @@
             record.line("%s runs %s of tenant %s", id, attempt, run.tenant());
             headers.put("X-Attempt-Id", attempt);
             headers.put("X-Response-Signature", id + "." + attempt);
-            out.write(Http.response("200 OK", headers, ("read " + attempt).getBytes()));
+            StringBuilder answer = new StringBuilder("read " + attempt);
+            while (head.word(1).contains("/large-") && answer.length() < answerBytes) {
+                answer.append(" and ").append(attempt);
+            }
+            out.write(Http.response("200 OK", headers, answer.toString().getBytes()));
         }
     }
 
--- a/review/standin-2/review2/Caller.java
+++ b/review/standin-2/review2/Caller.java
@@ -20,8 +20,22 @@
         this.address = address;
     }
 
+    /** Returns whether the next request goes out on the channel of the last one. */
+    boolean isOpen() {
+        return socket != null && !socket.isClosed();
+    }
+
     /** Sends a request without a body and reads the answer. */
     Answer get(String path, String host, String id, String key, long budgetMillis) {
+        return send("GET", path, host, id, key, budgetMillis);
+    }
+
+    /** Sends a request with an empty body and reads the answer. */
+    Answer post(String path, String host, String id, long budgetMillis) {
+        return send("POST", path, host, id, null, budgetMillis);
+    }
+
+    private Answer send(String method, String path, String host, String id, String key, long budgetMillis) {
         try {
             if (socket == null || socket.isClosed()) {
                 socket = new Socket();
@@ -30,8 +44,9 @@
                 socket.setSoTimeout(10_000);
                 in = new BufferedInputStream(socket.getInputStream());
             }
-            String request = "GET " + path + " HTTP/1.1\r\nHost: " + host + "\r\nX-Attempt-Id: " + id + "\r\n"
+            String request = method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\nX-Attempt-Id: " + id + "\r\n"
                     + "X-Deadline-Milliseconds: " + budgetMillis + "\r\n"
+                    + (method.equals("POST") ? "Content-Length: 0\r\n" : "")
                     + (key == null ? "" : "Authorization: Bearer " + key + "\r\n") + "\r\n";
             socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
             Http.Head head = Http.readHead(in);
