--- a/review/standin-2/review2/Program.java
+++ b/review/standin-2/review2/Program.java
@@ -19,6 +19,9 @@
 final class Program implements AutoCloseable {
     private static final int FILE_DESCRIPTORS = 4_200;
 
+    /** The field whose value replaces the list of seeds in a template. */
+    private static final String SEEDS = "#seeds";
+
     private final String name;
     private final String host;
     private final Map<String, String> fields;
@@ -47,9 +50,23 @@
         Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
     }
 
-    /** Starts an entry instance. */
+    /** Starts an entry instance that is given no seeds. */
     static Program entry(String name, String host, String zone, String storeAddress, Path directory)
             throws IOException {
+        return entry(entryFields(name, host, zone, storeAddress), List.of(), directory);
+    }
+
+    /** Starts an entry instance with the settings {@code fields}; {@code seeds} are the control addresses of instances. */
+    static Program entry(Map<String, String> fields, List<String> seeds, Path directory) throws IOException {
+        Map<String, String> withSeeds = new LinkedHashMap<>(fields);
+        withSeeds.put(SEEDS, seeds.isEmpty() ? "" : "\"" + String.join("\",\"", seeds) + "\"");
+        String host = fields.get("listen.front").replaceAll(":[0-9]+$", "");
+        return new Program("entry", fields.get("node_name"), host, withSeeds, directory);
+    }
+
+    /** Returns the settings of an entry instance on free ports of {@code host}. */
+    static Map<String, String> entryFields(String name, String host, String zone, String storeAddress)
+            throws IOException {
         Map<String, String> fields = new LinkedHashMap<>();
         fields.put("node_name", name);
         fields.put("zone", zone);
@@ -58,7 +75,7 @@
         fields.put("listen.directory", host + ":" + Listener.freePort(host));
         fields.put("listen.control", host + ":" + Listener.freePort(host));
         fields.put("platform.address", storeAddress);
-        return new Program("entry", name, host, withBounds(fields), directory);
+        return withBounds(fields);
     }
 
     /** Starts a rank agent beside the engine at {@code engineAddress}. */
@@ -90,8 +107,8 @@
     }
 
     private String fill(String template) {
-        // The settings name no seeds: the instances find each other in the store.
-        String text = template.replaceAll("(?s)\\{\\{#seeds\\}\\}.*?\\{\\{/seeds\\}\\}", "");
+        String seeds = java.util.regex.Matcher.quoteReplacement(fields.getOrDefault(SEEDS, ""));
+        String text = template.replaceAll("(?s)\\{\\{#seeds\\}\\}.*?\\{\\{/seeds\\}\\}", seeds);
         for (Map.Entry<String, String> field : fields.entrySet()) {
             text = text.replace("{{" + field.getKey() + "|json}}", "\"" + field.getValue() + "\"")
                     .replace("{{" + field.getKey() + "}}", field.getValue());
--- a/review/standin-2/review2/Store.java
+++ b/review/standin-2/review2/Store.java
@@ -43,7 +43,8 @@
 
     private final Map<String, List<Entry>> logs = new HashMap<>();
     private final List<Listener> listeners = new ArrayList<>();
-    private final long era = 1;
+    private long era = 1;
+    private boolean isAway;
 
     /** The access of one machine to the store. */
     final class Access {
@@ -85,6 +86,32 @@
         notifyAll();
     }
 
+    /** A copy of all records. */
+    static final class Copy {
+        private final Map<String, List<Entry>> logs = new HashMap<>();
+    }
+
+    synchronized Copy copy() {
+        Copy copy = new Copy();
+        logs.forEach((topic, log) -> copy.logs.put(topic, new ArrayList<>(log)));
+        return copy;
+    }
+
+    /** Makes the store refuse everyone. */
+    synchronized void goAway() {
+        isAway = true;
+        notifyAll();
+    }
+
+    /** Makes the store come back from {@code copy}; offsets are given out again, and the next era begins. */
+    synchronized void comeBackFrom(Copy copy) {
+        logs.clear();
+        copy.logs.forEach((topic, log) -> logs.put(topic, new ArrayList<>(log)));
+        era++;
+        isAway = false;
+        notifyAll();
+    }
+
     private List<Entry> log(String topic) {
         return logs.computeIfAbsent(topic, each -> new ArrayList<>());
     }
@@ -107,7 +134,7 @@
             throws InterruptedException {
         String target = head.word(1);
         String topic = Http.parameter(target, "topic", "");
-        if (isTurnedAway.get()) {
+        if (isAway || isTurnedAway.get()) {
             return respond("503 Service Unavailable", new byte[0]);
         }
         if (target.startsWith("/log-append")) {
@@ -184,10 +211,11 @@
         if (from > log.size()) {
             return respond("410 Gone", "{\"first\":0}".getBytes());
         }
-        while (from == log.size() && System.nanoTime() < untilNanos && !isTurnedAway.get()) {
+        long eraAtStart = era;
+        while (from == log.size() && System.nanoTime() < untilNanos && !isAway && !isTurnedAway.get()) {
             wait(Math.max(1, (untilNanos - System.nanoTime()) / 1_000_000));
         }
-        if (isTurnedAway.get()) {
+        if (isAway || era != eraAtStart || isTurnedAway.get()) {
             return respond("503 Service Unavailable", new byte[0]);
         }
         ByteArrayOutputStream out = new ByteArrayOutputStream();
