A broken connection no longer completes a response without a length

Seen by callers: an endpoint answered a large upload at once with a 200 that had neither a length nor chunks, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete response, plain and as a stream, of safe and unsafe routes. A truncated refusal was passed on as the promise that the call had not run.

Cause: an end was concluded from a close. The decoder of the library takes every close of a channel for the end of such a response. A write that fails closes the channel, and the decoder delivered the end before anything had reported a failure. The system reports a reset once. After a write that failed with "Connection reset by peer", the next read returns -1, like an orderly end (shown with two plain sockets; read first, the read fails). So a read end proves nothing after a failed write. The end of the event loop, a close by this process, delivered an end as well.

Ruled out: a reset that is read (it was and is a failure); responses with a length or chunks; the buffer of the receiver alone (an upload that fits the buffers of both sockets shows nothing, which is why no test saw it).

RequestWriter fails with the first part that cannot be written, which ends the exchange before anything else is read. Such an attempt now ends as after a reset: MAY_HAVE_RUN, CUT; an unsafe call is not sent again.

An endpoint that sends its end and then a reset, as a close with unread bytes may, is served if the end is read before a write fails, and fails otherwise: after the failed write the two cannot be told apart.

--- a/gateway/src/main/java/org/jasminehub/gateway/net/EndpointClient.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/EndpointClient.java
@@ -60,6 +60,8 @@
                 .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                // Distinguishes an end of the connection that was read from all other reasons for which it is closed.
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(ChannelOption.SO_KEEPALIVE, true)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_SECONDS)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_SECONDS)
--- a/gateway/src/main/java/org/jasminehub/gateway/net/EndpointConnection.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/EndpointConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
@@ -232,6 +233,15 @@
         }
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            // The decoder has passed on what the end completes; nothing else can be received.
+            isBroken = true;
+            context.close();
+        }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         // A reset, or bytes that the decoder rejects: no later byte on this connection can be interpreted reliably.
@@ -242,12 +252,14 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        if (!isAwaitingRelease) {
-            fail(ExchangeFailure.CUT);
-        }
+        fail(ExchangeFailure.CUT);
     }
 
+    /** Ends the exchange with a failure, unless its response is complete. */
     private void fail(ExchangeFailure failure) {
+        if (isAwaitingRelease) {
+            return;
+        }
         deliverBody();
         ResponseSink receiver = sink;
         sink = null;
--- a/gateway/src/main/java/org/jasminehub/gateway/net/RequestWriter.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/RequestWriter.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpObject;
 
 /**
  * Writes a request to an endpoint. A large body is written in parts, as the endpoint reads them: each part is copied to
@@ -31,8 +32,10 @@
         this.written = channel.newPromise();
     }
 
-    /** Starts writing; the result succeeds once the whole request has been handed to the operating system,
-     * and may stay open if the channel is closed before. */
+    /**
+     * Starts writing; the result succeeds once the whole request has been handed to the operating system, and fails as
+     * soon as a part of it cannot be.
+     */
     ChannelFuture start() {
         if (body.readableBytes() <= PART_BYTES) {
             return channel.writeAndFlush(request, written);
@@ -40,7 +43,7 @@
         isInParts = true;
         channel.closeFuture().addListener(closed -> release());
         written.addListener(done -> release());
-        channel.write(
+        writePart(
                 new DefaultHttpRequest(request.protocolVersion(), request.method(), request.uri(), request.headers()));
         writeParts();
         return written;
@@ -53,13 +56,13 @@
         }
         // Writing changes the writability of the channel, and its encoder does not support writes during a write.
         isWriting = true;
-        while (body.isReadable() && channel.isWritable()) {
+        while (isInParts && body.isReadable() && channel.isWritable()) {
             boolean isLast = body.readableBytes() <= PART_BYTES;
             ByteBuf part = body.readRetainedSlice(Math.min(PART_BYTES, body.readableBytes()));
             if (isLast) {
                 channel.write(new DefaultLastHttpContent(part), written);
             } else {
-                channel.write(new DefaultHttpContent(part));
+                writePart(new DefaultHttpContent(part));
             }
         }
         channel.flush();
@@ -70,6 +73,15 @@
         }
     }
 
+    private void writePart(HttpObject part) {
+        channel.write(part).addListener(done -> {
+            if (!done.isSuccess()) {
+                written.tryFailure(done.cause());
+                release();
+            }
+        });
+    }
+
     private void release() {
         if (isInParts) {
             isInParts = false;
--- a/gateway/src/test/java/org/jasminehub/gateway/DomainEvacuationTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/DomainEvacuationTest.java
@@ -55,12 +55,6 @@
         assertTrue(answer.contains("domain-evacuated: "), answer);
     }
 
-    private Socket open(String request) throws IOException {
-        Socket socket = gateway.connect();
-        ScriptedEndpoint.write(socket, request.replaceFirst("\r\n", "\r\nConnection: close\r\n"));
-        return socket;
-    }
-
     private static ScriptedEndpoint.Reply after(CountDownLatch latch, ScriptedEndpoint.Reply reply) {
         return (request, socket) -> {
             try {
--- a/gateway/src/test/java/org/jasminehub/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/GatewayFixture.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
@@ -23,8 +24,8 @@
     @BeforeEach
     void start() throws IOException {
         gateway = new GatewayHarness();
-        endpointOne = new ScriptedEndpoint(script);
-        endpointTwo = new ScriptedEndpoint(script);
+        endpointOne = newEndpoint();
+        endpointTwo = newEndpoint();
     }
 
     @AfterEach
@@ -34,6 +35,10 @@
         endpointTwo.close();
     }
 
+    ScriptedEndpoint newEndpoint() throws IOException {
+        return new ScriptedEndpoint(script);
+    }
+
     void serveWithOneEndpoint() {
         gateway.configure(1, KEY);
         gateway.register("e-1", endpointOne.port(), "ready");
@@ -60,6 +65,13 @@
         return GatewayHarness.request("POST", "/stream/x", id, KEY, "{}");
     }
 
+    /** Sends a request and returns the connection, on which the response can be read. */
+    Socket open(String request) throws IOException {
+        Socket socket = gateway.connect();
+        ScriptedEndpoint.write(socket, request.replaceFirst("\r\n", "\r\nConnection: close\r\n"));
+        return socket;
+    }
+
     ScriptedEndpoint.Request takeRequest(ScriptedEndpoint endpoint) throws InterruptedException {
         ScriptedEndpoint.Request request =
                 endpoint.requests().poll(GatewayHarness.TIMEOUT.toSeconds(), TimeUnit.SECONDS);
--- a/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
@@ -60,9 +60,11 @@
              "resume_streams":true,"gap_aim_ms":120}],
             "services":[{"name":"plain","health_path":"/health","connection_limit":100}],
             "tenants":[{"name":"team-a","api_keys":["%s"],"priority":1}],
-            "limits":{"header_bytes":4096,"body_bytes":10000,"header_timeout_ms":5000,"idle_timeout_ms":15000}}
+            "limits":{"header_bytes":4096,"body_bytes":%d,"header_timeout_ms":5000,"idle_timeout_ms":15000}}
             """;
 
+    private static final int MAX_BODY_BYTES = 10_000;
+
     /** The system clock, with a wall time that tests can shift. */
     static final class ShiftableClock implements Clock {
         private final Clock machine = new SystemClock();
@@ -200,7 +202,12 @@
 
     /** Publishes a configuration with {@code key} as its only key and waits until it is in force. */
     void configure(long version, String key) {
-        putConfiguration(version, key);
+        configure(version, key, MAX_BODY_BYTES);
+    }
+
+    /** Publishes a configuration that accepts request bodies of {@code maxBodyBytes}, and waits until it is in force. */
+    void configure(long version, String key, int maxBodyBytes) {
+        putConfiguration(store, version, key, maxBodyBytes);
         await(() -> entry.inForce().map(table -> table.version()).orElse(0L) >= version);
     }
 
@@ -226,7 +233,11 @@
     }
 
     static void putConfiguration(InMemoryStore store, long version, String key) {
-        store.put("keyed.op", "config", CONFIGURATION.formatted(version, key));
+        putConfiguration(store, version, key, MAX_BODY_BYTES);
+    }
+
+    static void putConfiguration(InMemoryStore store, long version, String key, int maxBodyBytes) {
+        store.put("keyed.op", "config", CONFIGURATION.formatted(version, key, maxBodyBytes));
     }
 
     static void putRegistration(InMemoryStore store, String domain, String id, int port, String state, long sequence) {
--- a/gateway/src/test/java/org/jasminehub/gateway/ScriptedEndpoint.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/ScriptedEndpoint.java
@@ -5,6 +5,7 @@
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -13,6 +14,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.jspecify.annotations.Nullable;
 
 /** An endpoint that answers each request with the next reply of its script, over real sockets. */
 final class ScriptedEndpoint implements AutoCloseable {
@@ -35,21 +37,44 @@
         }
     }
 
+    /** Leaves no room for a large body in the buffers of the operating system, so that its sender has to wait. */
+    private static final int SMALL_RECEIVE_BUFFER_BYTES = 8 << 10;
+
+    private static final int DEFAULT_RECEIVE_BUFFER_BYTES = 0;
+
+    private static final int BACKLOG = 50;
+
     private final ServerSocket listener;
     private final Queue<Reply> script;
+    private final boolean isBodyRead;
     private final BlockingQueue<Request> requests = new LinkedBlockingQueue<>();
     private final BlockingQueue<Boolean> closes = new LinkedBlockingQueue<>();
     private final AtomicInteger openConnections = new AtomicInteger();
 
     /** Starts an endpoint that takes its replies from {@code script}, which may be shared with other endpoints. */
     ScriptedEndpoint(Queue<Reply> script) throws IOException {
+        this(script, DEFAULT_RECEIVE_BUFFER_BYTES, true);
+    }
+
+    private ScriptedEndpoint(Queue<Reply> script, int receiveBufferBytes, boolean isBodyRead) throws IOException {
         this.script = script;
-        listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        this.isBodyRead = isBodyRead;
+        listener = new ServerSocket();
+        if (receiveBufferBytes != DEFAULT_RECEIVE_BUFFER_BYTES) {
+            // Has no effect on accepted connections unless it is set before the socket is bound.
+            listener.setReceiveBufferSize(receiveBufferBytes);
+        }
+        listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG);
         Thread acceptor = new Thread(this::accept, "endpoint");
         acceptor.setDaemon(true);
         acceptor.start();
     }
 
+    /** Starts an endpoint whose replies begin before the body of the request is read, which is left to them. */
+    static ScriptedEndpoint replyingEarly(Queue<Reply> script) throws IOException {
+        return new ScriptedEndpoint(script, SMALL_RECEIVE_BUFFER_BYTES, false);
+    }
+
     int port() {
         return listener.getLocalPort();
     }
@@ -133,7 +158,7 @@
         }
     }
 
-    private static Request read(InputStream in) throws IOException {
+    private @Nullable Request read(InputStream in) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
             int value = in.read();
@@ -143,6 +168,9 @@
             head.append((char) value);
         }
         Request bare = new Request(head.toString(), "");
+        if (!isBodyRead) {
+            return bare;
+        }
         String length = bare.header("content-length");
         byte[] body = in.readNBytes(length.isEmpty() ? 0 : Integer.parseInt(length));
         return new Request(head.toString(), new String(body, StandardCharsets.UTF_8));
--- a/gateway/src/test/java/org/jasminehub/gateway/SilentStreamFixture.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/SilentStreamFixture.java
@@ -115,12 +115,6 @@
         return endpointOne.closes().size() + endpointTwo.closes().size();
     }
 
-    Socket open(String request) throws IOException {
-        Socket socket = gateway.connect();
-        ScriptedEndpoint.write(socket, request.replaceFirst("\r\n", "\r\nConnection: close\r\n"));
-        return socket;
-    }
-
     /**
      * Fills both endpoints and sends one more call: if an ended attempt were still counted, not all calls would arrive;
      * if one had been counted off twice, too many would.
