Responses whose status line is not one of HTTP/1 are rejected

Seen by callers: a status of other than three digits was read as if it had three ("0200", "+200"), also behind tabs or several blanks, with another version of HTTP ("HTTP/2.0", "http/1.1") or with a control character in the reason, and the response was passed on as a sound one. A status of 000 reached no caller: ResponsePolicy rejects a status below 200 on every route. Calls of this system's own (store, engines) got it as an answer.

Cause: the library splits a status line at any whitespace and reads the status with Integer.parseInt. Which lines it accepts was found by running it.

Ruled out: a setting of the library. Strict line parsing is the default and concerns line ends only.

Change: StrictResponseDecoder checks the words of the line where the library hands them out; there is no parser of our own. The failure is MALFORMED, which promises nothing: an unsafe call is not sent again, a safe one goes to another endpoint. A status from 600 to 999 is three digits, stays a response here and is rejected by ResponsePolicy, as before.

Before and after: InvalidHeadsTest, 44 responses on each path: 23 of 44 reached the caller of an unsafe call, a safe call, a stream and a resumed stream, none; 38 of 44 were accepted as reports, 6 of them with status 000, none. StrictResponseDecoderTest$StatusLines: 21 of 40 fail, 40 pass.

--- a/gateway/src/main/java/org/jasminehub/gateway/net/StrictResponseDecoder.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/StrictResponseDecoder.java
@@ -3,13 +3,19 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.util.List;
+import java.util.regex.Pattern;
 
 /**
  * Decodes responses.
  *
+ * <p>A status line must have the form that RFC 9112 gives it. The superclass repairs some that have not: it accepts a
+ * status of other than three digits and any separators. Such a response is delivered with a failed {@link
+ * io.netty.handler.codec.DecoderResult}.
+ *
  * <p>A response with neither a length nor chunks ends where its sender ends the connection, and only if that end was
  * read. The channel must have {@link io.netty.channel.ChannelOption#ALLOW_HALF_CLOSURE} set, which reports such an end
  * as an event. Without the event, a closed channel leaves the response unfinished: it was reset, a write failed, or this
@@ -18,6 +24,16 @@
  * <p>Reports whether bytes were received after a complete response, and expects no body in a response to HEAD.
  */
 final class StrictResponseDecoder extends HttpResponseDecoder {
+    private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[0-9]");
+    private static final Pattern STATUS = Pattern.compile("[1-9][0-9]{2}");
+
+    private static final int VERSION_WORD = 0;
+    private static final int STATUS_WORD = 1;
+    private static final byte DELETE = 0x7f;
+
+    /** The end of the word of the status line that was split off last. */
+    private int wordEnd;
+
     private boolean isBodyForbidden;
     private boolean isFailed;
     private boolean isEndRead;
@@ -30,6 +46,46 @@
         return actualReadableBytes() > 0;
     }
 
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) {
+        if (!VERSION.matcher(initialLine[VERSION_WORD]).matches()) {
+            throw new DecoderException("not a version of HTTP/1: " + initialLine[VERSION_WORD]);
+        }
+        if (!STATUS.matcher(initialLine[STATUS_WORD]).matches()) {
+            throw new DecoderException("not a status: " + initialLine[STATUS_WORD]);
+        }
+        return super.createMessage(initialLine);
+    }
+
+    @Override
+    protected String splitFirstWordInitialLine(byte[] line, int start, int length) {
+        wordEnd = start + length;
+        return super.splitFirstWordInitialLine(line, start, length);
+    }
+
+    @Override
+    protected String splitSecondWordInitialLine(byte[] line, int start, int length) {
+        if (start != wordEnd + 1 || line[wordEnd] != ' ') {
+            throw new DecoderException("version and status are not separated by a single space");
+        }
+        wordEnd = start + length;
+        return super.splitSecondWordInitialLine(line, start, length);
+    }
+
+    @Override
+    protected String splitThirdWordInitialLine(byte[] line, int start, int length) {
+        if (line[wordEnd] != ' ') {
+            throw new DecoderException("status and reason are not separated by a space");
+        }
+        for (int index = wordEnd; index < start + length; index++) {
+            boolean isControl = line[index] >= 0 && line[index] < ' ' && line[index] != '\t';
+            if (isControl || line[index] == DELETE) {
+                throw new DecoderException("the reason contains the control character " + line[index]);
+            }
+        }
+        return super.splitThirdWordInitialLine(line, start, length);
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         // Netty reports the end of the input after a failed read, too.
--- a/gateway/src/test/java/org/jasminehub/gateway/net/StrictResponseDecoderTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/net/StrictResponseDecoderTest.java
@@ -103,4 +103,79 @@
             assertFalse(isComplete("part"));
         }
     }
+
+    /** Returns whether all that has been decoded is valid. */
+    private boolean isValid() {
+        boolean isValid = true;
+        for (HttpObject object = channel.readInbound(); object != null; object = channel.readInbound()) {
+            isValid &= object.decoderResult().isSuccess();
+        }
+        return isValid;
+    }
+
+    /** Guards against a response whose status line is repaired or read as another one. */
+    @Nested
+    final class StatusLines {
+        private static final String REST = "\r\nContent-Length: 4\r\n\r\ndone";
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "HTTP/1.1 000 X",
+                    "HTTP/1.1 000",
+                    "HTTP/1.1 0 X",
+                    "HTTP/1.1 00 X",
+                    "HTTP/1.1 099 X",
+                    "HTTP/1.1 2 OK",
+                    "HTTP/1.1 20 OK",
+                    "HTTP/1.1 2000 OK",
+                    "HTTP/1.1 0200 OK",
+                    "HTTP/1.1 +200 OK",
+                    "HTTP/1.1 -200 OK",
+                    "HTTP/1.1 20x OK",
+                    "HTTP/1.1 200OK",
+                    "HTTP/1.1  200 OK",
+                    "HTTP/1.1\t200 OK",
+                    "HTTP/1.1 200\tOK",
+                    "HTTP/1.1\u000b200 OK",
+                    "HTTP/1.1 200\u000bOK",
+                    "\u0000HTTP/1.1 200 OK",
+                    "HTTP/1.1 200 O\u0000K",
+                    "HTTP/1.1 200 O\u000bK",
+                    "HTTP/1.1 200 O\u007fK",
+                    "HTTP/1.1 200 O\rK",
+                    "HTTP/0.9 200 OK",
+                    "HTTP/2.0 200 OK",
+                    "http/1.1 200 OK",
+                    "ICY 200 OK",
+                    "200 OK",
+                    "HTTP/1.1",
+                })
+        void testALineThatIsNoStatusLineIsNoResponse(String line) {
+            receive(line + REST);
+
+            assertFalse(isValid());
+        }
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "HTTP/1.1 200 OK",
+                    "HTTP/1.0 200 OK",
+                    "HTTP/1.1 100 Continue",
+                    "HTTP/1.1 599 X",
+                    "HTTP/1.1 999 X",
+                    "HTTP/1.1 200 ",
+                    "HTTP/1.1 200",
+                    "HTTP/1.1 200  OK",
+                    "HTTP/1.1 200 \tOK",
+                    "HTTP/1.1 200 O\tK (all: \"fine\")",
+                    "HTTP/1.1 200 Gr\u00f6\u00dfe",
+                })
+        void testAStatusLineIsAccepted(String line) {
+            receive(line + "\r\nX-Odd: v\r\n\r\n");
+
+            assertTrue(isValid());
+        }
+    }
 }
