Responses with a line that is no field are rejected

Seen by callers: an endpoint named a field with a blank or a tab in or behind its name, or began a line with one, and the response was passed on: with that line repaired ("X-Odd : v"), cut short ("X Odd: v" as "X: v"), joined to the field before it (" X-Odd: v") or with a body whose length was read from it: "Content-Length : 1" cut the body to one byte, "Transfer-Encoding : chunked" was read as its coding. A name without a colon behind a blank was accepted as well. The same held for trailers and interim responses. Empty lines before a status line were skipped.

Cause: for responses, unlike for requests, the library ends a name at the first blank and looks for the colon later; and it appends a line that begins with a blank to the field before it.

Ruled out: control characters in a name or a value; the library rejects all of them (tests kept). A setting: none concerns these lines; validation of headers is on, but sees a name only after it has been cut.

Change: StrictResponseDecoder requires the colon directly behind the name where the library hands the name out, which covers heads, interim responses and trailers. LineStartScanner finds lines that begin with a blank among the bytes that the decoder consumed without delivering content; RFC 9112, section 5.2, lets a gateway reject them, and a name that begins with a blank cannot be told from a continued line. The failure is MALFORMED, and later bytes of the connection are discarded.

--- a/gateway/src/main/java/org/jasminehub/gateway/net/StrictResponseDecoder.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/net/StrictResponseDecoder.java
@@ -4,16 +4,22 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
 import java.util.List;
 import java.util.regex.Pattern;
 
 /**
  * Decodes responses.
  *
- * <p>A status line must have the form that RFC 9112 gives it. The superclass repairs some that have not: it accepts a
- * status of other than three digits and any separators. Such a response is delivered with a failed {@link
+ * <p>Each line of a head and each trailer must have the form that RFC 9112 gives it. The superclass repairs some lines
+ * that have not, or takes them for other lines: a status of other than three digits, a blank in or behind the name of a
+ * field, a line that begins with a blank. Such a response is delivered with a failed {@link
  * io.netty.handler.codec.DecoderResult}.
  *
  * <p>A response with neither a length nor chunks ends where its sender ends the connection, and only if that end was
@@ -31,6 +37,8 @@
     private static final int STATUS_WORD = 1;
     private static final byte DELETE = 0x7f;
 
+    private final LineStartScanner lineStarts = new LineStartScanner();
+    private boolean isRejected;
     /** The end of the word of the status line that was split off last. */
     private int wordEnd;
 
@@ -46,6 +54,39 @@
         return actualReadableBytes() > 0;
     }
 
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
+        if (isRejected) {
+            buffer.skipBytes(buffer.readableBytes());
+            return;
+        }
+        int start = buffer.readerIndex();
+        super.decode(context, buffer, out);
+        if (out.isEmpty() || !isContent(out.get(out.size() - 1))) {
+            // All bytes that the superclass has consumed belong to lines of a head, of chunks or of trailers.
+            lineStarts.scan(buffer, start, buffer.readerIndex());
+        } else {
+            lineStarts.onContent();
+        }
+        if (!out.isEmpty() && !lineStarts.isValid()) {
+            isRejected = true;
+            HttpMessage invalid = createInvalidMessage();
+            invalid.setDecoderResult(DecoderResult.failure(
+                    new DecoderException("a line begins with a blank, or an empty line precedes the status line")));
+            out.clear();
+            out.add(invalid);
+        }
+        if (!out.isEmpty() && out.get(out.size() - 1) instanceof LastHttpContent) {
+            lineStarts.reset();
+        }
+    }
+
+    private static boolean isContent(Object decoded) {
+        return decoded instanceof HttpContent content
+                ? content.content().isReadable()
+                : !(decoded instanceof HttpResponse);
+    }
+
     @Override
     protected HttpMessage createMessage(String[] initialLine) {
         if (!VERSION.matcher(initialLine[VERSION_WORD]).matches()) {
@@ -86,6 +127,16 @@
         return super.splitThirdWordInitialLine(line, start, length);
     }
 
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        AsciiString name = super.splitHeaderName(line, start, length);
+        int end = start + length;
+        if (end >= line.length || line[end] != ':') {
+            throw new DecoderException("the field name " + name + " is not followed by a colon");
+        }
+        return name;
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         // Netty reports the end of the input after a failed read, too.
--- a/gateway/src/test/java/org/jasminehub/gateway/InvalidHeadsTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/InvalidHeadsTest.java
@@ -18,7 +18,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Guards against responses that reach a caller although their status line is none of the protocol.
+ * Guards against responses that reach a caller although a line of their head is none of the protocol: with that line
+ * repaired, cut short or dropped, or with a body whose length was read from it.
  */
 final class InvalidHeadsTest extends SilentStreamFixture {
     private static final String LAST_CHUNK = "0\r\n\r\n";
@@ -45,9 +46,29 @@
             "HTTP/1.1 2000 OK",
             "HTTP/1.1  200 OK",
             "HTTP/1.1\t200 OK",
+            " HTTP/1.1 200 OK",
+            "\r\nHTTP/1.1 200 OK",
             "HTTP/1.1 200 O\u0000K",
             "HTTP/2.0 200 OK");
 
+    private static final List<String> FIELDS = List.of(
+            "X Odd: v",
+            "X-Odd : v",
+            "X-Odd\t: v",
+            "X\tOdd: v",
+            " X-Odd: v",
+            "\tX-Odd: v",
+            "X-Odd",
+            "X-Odd ",
+            "X\u0000Odd: v",
+            "X\u0001Odd: v",
+            "X-Odd\u000b: v",
+            "X\u007fOdd: v",
+            "X\rOdd: v",
+            "Content Length: 1",
+            " Content-Length: 1",
+            "Transfer Encoding: chunked");
+
     /** Returns responses to which a call may not be answered. */
     static List<String> responses() {
         List<String> result = new ArrayList<>();
@@ -57,6 +78,19 @@
             result.add(line + "\r\n" + SIGNED + UNFRAMED);
             result.add("HTTP/1.1 103 Early Hints\r\n\r\n" + line + "\r\n" + SIGNED + WITH_LENGTH);
         }
+        for (String line : FIELDS) {
+            result.add("HTTP/1.1 200 OK\r\n" + SIGNED + line + "\r\n" + WITH_LENGTH);
+            result.add("HTTP/1.1 200 OK\r\n" + line + "\r\n" + SIGNED + IN_CHUNKS);
+            result.add("HTTP/1.1 200 OK\r\n" + SIGNED + line + "\r\n" + UNFRAMED);
+            result.add("HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\n" + SIGNED + WITH_LENGTH);
+            result.add("HTTP/1.1 200 OK\r\n" + SIGNED
+                    + IN_CHUNKS.replace("0\r\n\r\n", "0\r\nX-Even: v\r\n" + line + "\r\n\r\n"));
+        }
+        // A length or a coding with such a name is no framing, and the body that it frames is not the endpoint's.
+        result.add("HTTP/1.1 200 OK\r\n" + SIGNED + "Content-Length : 1\r\n" + UNFRAMED);
+        result.add("HTTP/1.1 200 OK\r\n" + SIGNED + "Content-Length\t: 1\r\n" + UNFRAMED);
+        result.add("HTTP/1.1 200 OK\r\n" + SIGNED + "Transfer-Encoding : chunked\r\n\r\n{hex}\r\n{body}\r\n0\r\n\r\n");
+        result.add("HTTP/1.1 200 OK\r\n" + SIGNED + "Transfer-Encoding\t: chunked\r\n\r\n{hex}\r\n{body}\r\n0\r\n\r\n");
         return result;
     }
 
--- a/gateway/src/test/java/org/jasminehub/gateway/net/StrictResponseDecoderTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/net/StrictResponseDecoderTest.java
@@ -13,9 +13,12 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests which bytes and which ends of a connection are a response. */
@@ -139,6 +142,10 @@
                     "HTTP/1.1 200\tOK",
                     "HTTP/1.1\u000b200 OK",
                     "HTTP/1.1 200\u000bOK",
+                    " HTTP/1.1 200 OK",
+                    "\tHTTP/1.1 200 OK",
+                    "\r\nHTTP/1.1 200 OK",
+                    "\nHTTP/1.1 200 OK",
                     "\u0000HTTP/1.1 200 OK",
                     "HTTP/1.1 200 O\u0000K",
                     "HTTP/1.1 200 O\u000bK",
@@ -178,4 +185,129 @@
             assertTrue(isValid());
         }
     }
+
+    /** Guards against a field that is repaired, cut short, dropped or read as the length of the body. */
+    @Nested
+    final class Fields {
+        static List<String> invalidFields() {
+            List<String> result = new ArrayList<>(List.of(
+                    "X-Odd",
+                    "X-Odd ",
+                    "X-Odd : v",
+                    "X-Odd\t: v",
+                    "X Odd: v",
+                    "X\tOdd: v",
+                    " X-Odd: v",
+                    "\tX-Odd: v",
+                    "X-Odd: v\r\n w",
+                    "X-Odd: v\r\n\tw",
+                    "X-Odd: v\r\n ",
+                    ": v",
+                    " : v",
+                    " ",
+                    "Content-Length : 1",
+                    "Content-Length\t: 1",
+                    "Content Length: 1",
+                    "Content-\tLength: 1",
+                    " Content-Length: 1",
+                    "Transfer-Encoding : chunked",
+                    "Transfer Encoding: chunked",
+                    " Transfer-Encoding: chunked"));
+            for (int control = 0; control < ' '; control++) {
+                if (control != '\n') {
+                    result.add("X" + (char) control + "Odd: v");
+                    result.add("X-Odd" + (char) control + ": v");
+                }
+            }
+            for (char character : "\u007f\u0080\u0085\u00a0\u00f6()/;,@[]{}=\"\\<>?".toCharArray()) {
+                result.add("X" + character + "Odd: v");
+            }
+            return result;
+        }
+
+        @ParameterizedTest
+        @MethodSource("invalidFields")
+        void testALineThatIsNoFieldIsNoResponse(String line) {
+            receive("HTTP/1.1 200 OK\r\n" + line + "\r\n\r\ndone");
+
+            assertFalse(isValid());
+        }
+
+        @ParameterizedTest
+        @MethodSource("invalidFields")
+        void testALineThatIsNoFieldBehindAFieldIsNoResponse(String line) {
+            receive("HTTP/1.1 200 OK\r\nX-Even: v\r\n" + line + "\r\nX-Last: v\r\n\r\ndone");
+
+            assertFalse(isValid());
+        }
+
+        @ParameterizedTest
+        @MethodSource("invalidFields")
+        void testALineThatIsNoFieldOfAnInterimResponseIsNoResponse(String line) {
+            receive("HTTP/1.1 103 Early Hints\r\nX-Even: v\r\n" + line
+                    + "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
+
+            assertFalse(isValid());
+        }
+
+        @ParameterizedTest
+        @MethodSource("invalidFields")
+        void testALineThatIsNoFieldBehindAnInterimResponseIsNoResponse(String line) {
+            receive("HTTP/1.1 103 Early Hints\r\nX-Even: v\r\n\r\nHTTP/1.1 200 OK\r\nX-Even: v\r\n" + line
+                    + "\r\n\r\ndone");
+
+            assertFalse(isValid());
+        }
+
+        @ParameterizedTest
+        @MethodSource("invalidFields")
+        void testALineThatIsNoTrailerIsNoResponse(String line) {
+            receive("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\nX-Even: v\r\n" + line
+                    + "\r\n\r\n");
+
+            assertFalse(isValid());
+        }
+
+        @ParameterizedTest
+        @MethodSource("invalidFields")
+        void testALineThatArrivesInSingleBytesIsNoResponse(String line) {
+            for (char character : ("HTTP/1.1 200 OK\r\nX-Even: v\r\n" + line + "\r\n\r\ndone").toCharArray()) {
+                receive(Character.toString(character));
+            }
+
+            assertFalse(isValid());
+        }
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "X-Odd:v",
+                    "X-Odd: v",
+                    "X-Odd: \t v \t ",
+                    "X-Odd:",
+                    "X-Odd: a: b",
+                    "X-Odd: a \t b",
+                    "X-Odd: \u00f6",
+                    "!#$%&'*+-.^_`|~09azAZ: v"
+                })
+        void testAFieldIsAccepted(String line) {
+            String rest = "\r\nContent-Length: 4\r\n\r\ndone";
+            receive("HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\n" + line + rest);
+            assertTrue(isComplete("done"));
+
+            for (char character : ("HTTP/1.1 200 OK\r\n" + line + rest).toCharArray()) {
+                receive(Character.toString(character));
+            }
+            assertTrue(isComplete("done"));
+        }
+
+        @Test
+        void testABodyMayHoldLinesThatBeginWithABlank() {
+            receive("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n\r\n a\r\n\tb"
+                    + "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            receive("8\r\n\r\n c\r\n\td\r\n0\r\nX-Trailer: v\r\n\r\n");
+
+            assertTrue(isComplete("\r\n a\r\n\tb\r\n c\r\n\td"));
+        }
+    }
 }
