Ids of stream events are kept as they were written

A caller that resumed a stream after an event whose id exceeds 2^53 got earlier events once more, in a stream that ended as complete. The endpoint had been asked to go on after another event.

Cause: `Last-Event-Id` was parsed as a floating-point number and cast to 64 bits, so ids above 2^53 were rounded and ids above 2^63 - 1 saturated. The rounded id went to the endpoint, and the first event was compared with it as well, so repeated events passed as the continuation. A resumption by the instance parsed ids exactly, but above 2^63 - 1 it took them for no ids at all, and the comparison with `lastEventId + 1` overflowed at the largest value.

Ruled out: the splitter and the relay below 2^63 (a stream that the instance itself resumes at 2^53 was whole before).

Change: `EventId` keeps the text of an id and compares exactly. `ATTEMPT_FAILED` logs the id as a text, empty where it was -1, since readers of JSON round large numbers.

--- a/core/src/main/java/org/jasminehub/core/balance/SilentStreamPolicy.java
+++ b/core/src/main/java/org/jasminehub/core/balance/SilentStreamPolicy.java
@@ -1,6 +1,7 @@
 package org.jasminehub.core.balance;
 
 import org.jasminehub.core.serving.Route;
+import org.jasminehub.core.stream.EventId;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -59,11 +60,13 @@
      * @param isContinuation whether the attempt would continue the response of another one
      */
     public static EventDecision decide(
-            @Nullable Long eventId, @Nullable Long lastEventId, boolean hasOutput, boolean isContinuation) {
+            @Nullable EventId eventId, @Nullable EventId lastEventId, boolean hasOutput, boolean isContinuation) {
         if (eventId == null) {
             // Without an id, nothing shows that the event follows the last one or that the caller does not have it.
             return isContinuation && hasOutput ? EventDecision.DISCARD : EventDecision.DELIVER;
         }
-        return lastEventId == null || eventId == lastEventId + 1 ? EventDecision.DELIVER : EventDecision.FAIL_ATTEMPT;
+        return lastEventId == null || lastEventId.isFollowedBy(eventId)
+                ? EventDecision.DELIVER
+                : EventDecision.FAIL_ATTEMPT;
     }
 }
--- a/core/src/main/java/org/jasminehub/core/stream/EventSplitter.java
+++ b/core/src/main/java/org/jasminehub/core/stream/EventSplitter.java
@@ -34,7 +34,7 @@
     private boolean isLineBlank = true;
     private boolean hasComment;
     private boolean hasField;
-    private @Nullable Long id;
+    private @Nullable EventId id;
 
     /** Returns whether the current event is larger than any valid one, because its end may never be sent. */
     public boolean isEventTooLarge() {
@@ -81,7 +81,8 @@
         boolean isId =
                 valueStart <= eventLength && Arrays.equals(buffer, lineStart, valueStart, ID_FIELD, 0, ID_FIELD.length);
         if (isId) {
-            id = parseId(new String(buffer, valueStart, eventLength - valueStart, StandardCharsets.UTF_8).trim());
+            String text = new String(buffer, valueStart, eventLength - valueStart, StandardCharsets.UTF_8);
+            id = EventId.parse(text.trim()).orElse(null);
         }
     }
 
@@ -109,12 +110,4 @@
         buffer[eventLength] = value;
         eventLength++;
     }
-
-    private static @Nullable Long parseId(String text) {
-        try {
-            return Long.parseLong(text);
-        } catch (NumberFormatException e) {
-            return null;
-        }
-    }
 }
--- a/core/src/test/java/org/jasminehub/core/balance/SilentStreamPolicyTest.java
+++ b/core/src/test/java/org/jasminehub/core/balance/SilentStreamPolicyTest.java
@@ -12,6 +12,7 @@
 import org.jasminehub.core.serving.CallKind;
 import org.jasminehub.core.serving.Route;
 import org.jasminehub.core.serving.WeightedService;
+import org.jasminehub.core.stream.EventId;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -49,20 +50,24 @@
 
     @Nested
     final class Events {
+        private EventId id(long number) {
+            return new EventId(Long.toString(number));
+        }
+
         @Test
         void testAGapOrARepeatedEventFailsTheAttempt() {
             for (boolean isSecond : new boolean[] {false, true}) {
-                assertEquals(EventDecision.FAIL_ATTEMPT, SilentStreamPolicy.decide(5L, 3L, true, isSecond));
-                assertEquals(EventDecision.FAIL_ATTEMPT, SilentStreamPolicy.decide(3L, 3L, true, isSecond));
-                assertEquals(EventDecision.DELIVER, SilentStreamPolicy.decide(4L, 3L, true, isSecond));
-                assertEquals(EventDecision.DELIVER, SilentStreamPolicy.decide(1L, null, false, isSecond));
+                assertEquals(EventDecision.FAIL_ATTEMPT, SilentStreamPolicy.decide(id(5), id(3), true, isSecond));
+                assertEquals(EventDecision.FAIL_ATTEMPT, SilentStreamPolicy.decide(id(3), id(3), true, isSecond));
+                assertEquals(EventDecision.DELIVER, SilentStreamPolicy.decide(id(4), id(3), true, isSecond));
+                assertEquals(EventDecision.DELIVER, SilentStreamPolicy.decide(id(1), null, false, isSecond));
             }
         }
 
         @Test
         void testAnEventWithoutAnIdDoesNotContinueTheStreamOfAnotherEndpoint() {
-            assertEquals(EventDecision.DELIVER, SilentStreamPolicy.decide(null, 3L, true, false));
-            assertEquals(EventDecision.DISCARD, SilentStreamPolicy.decide(null, 3L, true, true));
+            assertEquals(EventDecision.DELIVER, SilentStreamPolicy.decide(null, id(3), true, false));
+            assertEquals(EventDecision.DISCARD, SilentStreamPolicy.decide(null, id(3), true, true));
             assertEquals(EventDecision.DELIVER, SilentStreamPolicy.decide(null, null, false, true));
         }
 
@@ -89,7 +94,8 @@
                     long id = next[source] + (random.nextInt(10) == 0 ? random.nextInt(3) - 1 : 0);
                     next[source] = id + 1;
                     Long last = delivered.isEmpty() ? null : delivered.get(delivered.size() - 1);
-                    EventDecision decision = SilentStreamPolicy.decide(id, last, last != null, source == 1);
+                    EventDecision decision = SilentStreamPolicy.decide(
+                            id(id), last == null ? null : id(last), last != null, source == 1);
                     isFailed[source] = decision == EventDecision.FAIL_ATTEMPT || delivered.size() >= 50;
                     if (decision == EventDecision.DELIVER) {
                         delivered.add(id);
--- a/core/src/test/java/org/jasminehub/core/stream/EventSplitterTest.java
+++ b/core/src/test/java/org/jasminehub/core/stream/EventSplitterTest.java
@@ -11,6 +11,8 @@
 import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 final class EventSplitterTest {
     private static final String STREAM = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n: note\n\n";
@@ -25,7 +27,7 @@
                 events.addAll(splitter.take(Arrays.copyOfRange(bytes, from, Math.min(bytes.length, from + size))));
             }
             assertEquals(3, events.size(), "chunks of " + size);
-            assertEquals(1, events.get(0).id());
+            assertEquals(new EventId("1"), events.get(0).id());
             assertEquals("id:2\r\ndata: b\r\n\r\n", new String(events.get(1).bytes(), StandardCharsets.UTF_8));
             assertNull(events.get(2).id());
             assertFalse(splitter.hasPartialEvent());
@@ -62,7 +64,7 @@
         @Test
         void testAnIdBehindBlankLinesIsRead() {
             assertEquals(
-                    7,
+                    new EventId("7"),
                     splitter.take("\n\nid: 7\n\n".getBytes(StandardCharsets.UTF_8))
                             .get(0)
                             .id());
@@ -84,6 +86,27 @@
         }
     }
 
+    /** Ids out of the range of a 64-bit number were no ids, and other digits were read as different ids. */
+    @ParameterizedTest
+    @ValueSource(strings = {"9007199254740993", "18446744073709551616", "-9223372036854775809", "007"})
+    void testAnIdOfAnySizeIsKeptAsItWasWritten(String id) {
+        StreamEvent event = new EventSplitter()
+                .take(("id: " + id + "\n\n").getBytes(StandardCharsets.UTF_8))
+                .get(0);
+
+        assertEquals(new EventId(id), event.id());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"NaN", "1.0", "1e3", "+1", "0x1", "\u0661\u0662", "1 2"})
+    void testAnIdThatIsNoWholeNumberIsNone(String id) {
+        StreamEvent event = new EventSplitter()
+                .take(("id: " + id + "\n\n").getBytes(StandardCharsets.UTF_8))
+                .get(0);
+
+        assertNull(event.id());
+    }
+
     @Test
     void testOnlyEventsWithoutFieldsAreComments() {
         List<StreamEvent> events =
--- a/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/Attempt.java
@@ -18,6 +18,7 @@
 import org.jasminehub.core.serving.CallKind;
 import org.jasminehub.core.serving.EndpointRecord;
 import org.jasminehub.core.serving.WorkspaceGrant;
+import org.jasminehub.core.stream.EventId;
 import org.jasminehub.gateway.net.CallerRequest;
 import org.jasminehub.gateway.net.ConnectionUse;
 import org.jasminehub.gateway.net.EndpointAddress;
@@ -137,7 +138,7 @@
 
     /** Logs that the attempt failed. */
     void report(AttemptEnd end, String reason, boolean isRetried) {
-        Long lastEventId = call.lastEventId();
+        EventId lastEventId = call.lastEventId();
         call.dispatcher()
                 .events()
                 .emit(new AttemptFailed(
@@ -146,7 +147,7 @@
                         end,
                         reason,
                         call.dispatcher().openCallsAt(endpoint.id()),
-                        lastEventId == null ? -1 : lastEventId,
+                        lastEventId == null ? "" : lastEventId.text(),
                         elapsedMillis(),
                         isRetried,
                         call.identity().sharedParts()));
--- a/gateway/src/main/java/org/jasminehub/gateway/call/AttemptFailed.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/AttemptFailed.java
@@ -12,7 +12,7 @@
  * @param end whether the endpoint may have run the call
  * @param reason the observed failure
  * @param openCalls the endpoint's open calls as known to this instance
- * @param lastEventId the id of the last stream event delivered to the caller, -1 if there is none
+ * @param lastEventId the id of the last stream event delivered to the caller, empty if there is none
  * @param elapsedMillis the time since the attempt was sent
  * @param isRepeated whether the call goes on with another attempt
  * @param promptParts the parts of the prompt that other requests may share
@@ -23,7 +23,7 @@
         AttemptEnd end,
         String reason,
         int openCalls,
-        long lastEventId,
+        String lastEventId,
         long elapsedMillis,
         boolean isRepeated,
         List<String> promptParts)
--- a/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/call/RunningCall.java
@@ -12,6 +12,7 @@
 import org.jasminehub.core.serving.Route;
 import org.jasminehub.core.serving.ServiceProfile;
 import org.jasminehub.core.serving.WorkspaceGrant;
+import org.jasminehub.core.stream.EventId;
 import org.jasminehub.gateway.net.CallerExchange;
 import org.jasminehub.gateway.net.CallerResponse;
 import org.jspecify.annotations.Nullable;
@@ -37,7 +38,7 @@
     private String service = "";
     private @Nullable ScheduledFuture<?> deadlineTimer;
     private long firstByteMillis = -1;
-    private @Nullable Long lastEventId;
+    private @Nullable EventId lastEventId;
     private boolean isHeadSent;
     private boolean hasOutput;
     private boolean isDone;
@@ -126,7 +127,7 @@
     }
 
     @Nullable
-    Long lastEventId() {
+    EventId lastEventId() {
         return lastEventId;
     }
 
@@ -134,7 +135,7 @@
         return isDone;
     }
 
-    void onEventDelivered(long id) {
+    void onEventDelivered(EventId id) {
         lastEventId = id;
     }
 
