--- a/entry/src/main/java/org/jasminehub/entry/http/RequestReader.java
+++ b/entry/src/main/java/org/jasminehub/entry/http/RequestReader.java
@@ -137,10 +137,11 @@
         if (tokens.isMissingNode()) {
             return DEFAULT_ANSWER_TOKENS;
         }
-        if (!tokens.isIntegralNumber() || tokens.asLong() < 1 || tokens.asLong() > MAX_ANSWER_TOKENS) {
+        boolean isInteger = tokens.isIntegralNumber() && tokens.canConvertToLong();
+        if (!isInteger || tokens.longValue() < 1 || tokens.longValue() > MAX_ANSWER_TOKENS) {
             throw malformed("max_tokens must be a whole number from 1 to " + MAX_ANSWER_TOKENS);
         }
-        return tokens.asLong();
+        return tokens.longValue();
     }
 
     private static String pathWithQuery(HttpRequest request, String path) {
