Only a read that reaches the end of its log confirms a state

After an outage of the store, requests with a key that was withdrawn over 5 s before ran for about half a second.

Cause: a read of a log returns at most 1,024 kB, and each version is the whole configuration, so the first read after an outage does not reach the end of the log. The follower confirmed the age of its state after any successful read, and the client of the store ignored the end of the log that each response states. The configuration counted as just confirmed although newer versions were known to be in the log, and its age reached the peers as well.

Ruled out: the copy of a peer (it has no age of its own; a peer confirms only its own version with its own proved age) and the pause of 250 ms after records, which only made the fault last longer.

An age is confirmed, and the era of evacuations counts as complete, only if the read reached that end. An end that cannot be (negative, or not after the first record read) proves nothing; its records are applied. If such an end comes without records, the newest ones are read again, as the log does not hold the next offset. - While a read is behind, the next one follows without pause or wait. Reads that show neither records nor an end are repeated with growing pauses. Versions between two such reads are not decoded, for at most 250 ms, so that a long backlog costs one decode. - Pages of newest records reach the end if nothing was appended while they were read.

--- a/core/src/main/java/org/jasminehub/core/evacuation/Evacuations.java
+++ b/core/src/main/java/org/jasminehub/core/evacuation/Evacuations.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import org.jasminehub.core.era.EraTracker;
@@ -82,11 +83,12 @@
      *
      * @param requests the domains whose evacuation is requested, with the positions of the records
      * @param endOffset the offset from which the log is followed
-     * @param asOfMillis the monotonic time as of which the read is current
+     * @param asOfMillis the monotonic time as of which the records read so far are complete, empty if the read did not
+     *     reach the end of the log
      * @return the states that changed between evacuated and not evacuated
      */
     public List<EvacuationState> onSnapshot(
-            StoreEra era, Map<FailureDomain, LogPosition> requests, long endOffset, long asOfMillis) {
+            StoreEra era, Map<FailureDomain, LogPosition> requests, long endOffset, OptionalLong asOfMillis) {
         List<EvacuationState> changes = new ArrayList<>();
         requests.forEach((domain, position) -> apply(new EvacuationState(domain, true, position), changes));
         for (EvacuationState known : List.copyOf(states.values())) {
@@ -105,11 +107,12 @@
      *
      * @param records the requests and removals, oldest first
      * @param nextOffset the offset from which the log is read next
-     * @param asOfMillis the monotonic time as of which the read is current
+     * @param asOfMillis the monotonic time as of which the records read so far are complete, empty if the read did not
+     *     reach the end of the log
      * @return the states that changed between evacuated and not evacuated
      */
     public List<EvacuationState> onRecords(
-            StoreEra era, Collection<EvacuationState> records, long nextOffset, long asOfMillis) {
+            StoreEra era, Collection<EvacuationState> records, long nextOffset, OptionalLong asOfMillis) {
         List<EvacuationState> changes = new ArrayList<>();
         records.forEach(record -> apply(record, changes));
         onReadUpTo(era, nextOffset, asOfMillis, changes);
@@ -169,16 +172,16 @@
         }
     }
 
-    private void onReadUpTo(StoreEra era, long nextOffset, long asOfMillis, List<EvacuationState> changes) {
+    private void onReadUpTo(StoreEra era, long nextOffset, OptionalLong asOfMillis, List<EvacuationState> changes) {
         if (!era.equals(readEra)) {
             readEra = era;
             eraReadSinceMillis = clock.monotonicMillis();
             isEraComplete = false;
         }
         readEnd = nextOffset;
-        if (!isEraComplete && asOfMillis - eraReadSinceMillis >= EraTracker.REWRITE_MILLIS) {
-            isEraComplete = true;
-        }
+        // The lost records that were written again may be the last ones of the log.
+        isEraComplete |=
+                asOfMillis.isPresent() && asOfMillis.getAsLong() - eraReadSinceMillis >= EraTracker.REWRITE_MILLIS;
         if (!isEraComplete) {
             return;
         }
--- a/core/src/test/java/org/jasminehub/core/evacuation/EvacuationsTest.java
+++ b/core/src/test/java/org/jasminehub/core/evacuation/EvacuationsTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.jasminehub.core.era.EraTracker;
 import org.jasminehub.core.era.StoreEra;
@@ -41,11 +42,13 @@
         for (EvacuationState request : requests) {
             positions.put(request.domain(), request.position());
         }
-        return evacuations.onSnapshot(new StoreEra(era), positions, endOffset, clock.monotonicMillis());
+        return evacuations.onSnapshot(
+                new StoreEra(era), positions, endOffset, OptionalLong.of(clock.monotonicMillis()));
     }
 
     private List<EvacuationState> read(long era, long nextOffset, EvacuationState... records) {
-        return evacuations.onRecords(new StoreEra(era), List.of(records), nextOffset, clock.monotonicMillis());
+        return evacuations.onRecords(
+                new StoreEra(era), List.of(records), nextOffset, OptionalLong.of(clock.monotonicMillis()));
     }
 
     /** Records of one era. */
@@ -242,7 +245,19 @@
             long sentMillis = clock.monotonicMillis();
             clock.advanceMillis(2 * EraTracker.REWRITE_MILLIS);
 
-            evacuations.onRecords(new StoreEra(2), List.of(), 5, sentMillis);
+            evacuations.onRecords(new StoreEra(2), List.of(), 5, OptionalLong.of(sentMillis));
+
+            assertTrue(evacuations.isEvacuated(A));
+        }
+
+        /** Guards against an evacuation that ends although the record that renews it lies in the next part of the log. */
+        @Test
+        void testAReadThatDoesNotReachTheEndOfTheLogEndsNothing() {
+            evacuateInFirstEra();
+            readAll(2, 5);
+            clock.advanceMillis(2 * EraTracker.REWRITE_MILLIS);
+
+            evacuations.onRecords(new StoreEra(2), List.of(), 5, OptionalLong.empty());
 
             assertTrue(evacuations.isEvacuated(A));
         }
--- a/gateway/src/main/java/org/jasminehub/gateway/control/ConfigurationController.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/ConfigurationController.java
@@ -1,7 +1,9 @@
 package org.jasminehub.gateway.control;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Supplier;
 import org.jasminehub.core.balance.StateAge;
 import org.jasminehub.core.era.EraTracker;
@@ -25,13 +27,24 @@
     /** Older confirmations are useless; the limit also prevents an overflow when ages are subtracted from times. */
     private static final long MAX_PEER_AGE_MILLIS = 60_000;
 
+    /**
+     * Longest time for which versions are not applied because later ones may follow. Reads up to the end of the log take
+     * less unless the store is slow.
+     */
+    private static final long MAX_DEFERRAL_MILLIS = 250;
+
     private final EventSink events;
+    private final DelayedRunner timer;
     private final ConfigurationReads reads;
     private final LogFollower follower;
     private @Nullable RouteTable inForce;
     private byte @Nullable [] bytesInForce;
     /** The newest version that the store has shown since all records were last read. */
     private long newestStoredVersion;
+    /** The versions of the last read that had any, oldest first, while the log holds more records than were read. */
+    private List<KeyedRecord> deferred = List.of();
+
+    private boolean isBehind;
 
     private Runnable onApplied = () -> {};
 
@@ -50,23 +63,31 @@
             EraTracker eras,
             OperatorLogListener listener) {
         this.events = events;
+        this.timer = timer;
         this.reads = reads;
         this.follower = new LogFollower(
                 store, StoreTopic.CONFIGURATION, settings, timer, clock, events, eras, new LogFollower.Listener() {
                     @Override
-                    public void onSlice(LogSlice slice, boolean isSnapshot, long asOfMillis) {
+                    public void onSlice(LogSlice slice, boolean isSnapshot, OptionalLong asOfMillis) {
+                        isBehind = slice.isBehind();
                         listener.onOperatorLog(slice, isSnapshot, asOfMillis);
                     }
 
                     @Override
                     public void onSnapshot(List<KeyedRecord> records) {
+                        applyDeferred();
                         newestStoredVersion = 0;
-                        applyNewest(records);
+                        onVersions(records);
                     }
 
                     @Override
                     public void onRecords(List<KeyedRecord> records) {
-                        applyNewest(records);
+                        onVersions(records);
+                    }
+
+                    @Override
+                    public void onEndReached(long asOfMillis) {
+                        applyDeferred();
                     }
 
                     @Override
@@ -151,6 +172,36 @@
         follower.stop();
     }
 
+    /**
+     * Applies the newest version, or defers that while the read is behind the end of the log: decoding a version takes
+     * long compared to a read, and the versions between two reads are overtaken most of the time.
+     */
+    private void onVersions(List<KeyedRecord> records) {
+        List<KeyedRecord> versions = records.stream()
+                .filter(record -> record.key().equals(StoreTopic.CONFIGURATION_KEY))
+                .toList();
+        if (versions.isEmpty()) {
+            return;
+        }
+        if (!isBehind) {
+            List<KeyedRecord> unapplied = new ArrayList<>(deferred);
+            unapplied.addAll(versions);
+            deferred = List.of();
+            applyNewest(unapplied);
+            return;
+        }
+        if (deferred.isEmpty()) {
+            timer.runAfter(MAX_DEFERRAL_MILLIS, this::applyDeferred);
+        }
+        deferred = versions;
+    }
+
+    private void applyDeferred() {
+        List<KeyedRecord> versions = deferred;
+        deferred = List.of();
+        applyNewest(versions);
+    }
+
     /** Applies the last configuration that is newer than the one in force; the ones before it are not decoded. */
     private void applyNewest(List<KeyedRecord> records) {
         for (int index = records.size() - 1; index >= 0; index--) {
--- a/gateway/src/main/java/org/jasminehub/gateway/control/ControlEventKind.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/ControlEventKind.java
@@ -34,6 +34,13 @@
             3512, Severity.WARNING, "An endpoint refuses requests and asks for none for the time that the line says."),
     /** An endpoint limits the requests that it takes from all instances, changed its limit or ended it. */
     ENDPOINT_LIMITED(3513, Severity.WARNING, "An endpoint states how many requests it takes, or no longer does."),
+    /** A read of a log ended before the end of the log, so what it shows may be outdated. */
+    STORE_READ_BEHIND(
+            3514, Severity.INFO, "A read did not reach the end of a log; its state is not confirmed until one does."),
+    /** A read reached the end of a log after others that did not. */
+    STORE_READ_COMPLETED(3515, Severity.INFO, "A log is read to its end again; the line says how long that took."),
+    /** The store stated an end of a log that cannot be. */
+    STORE_END_INVALID(3516, Severity.WARNING, "The end that the store states of a log cannot be; it proves nothing."),
     /** The operator asks that nothing more be sent to a failure domain. */
     EVACUATION_REQUESTED(3530, Severity.WARNING, "A failure domain is evacuated; its endpoints get no new call."),
     /** The operator removed the request to evacuate a failure domain. */
--- a/gateway/src/main/java/org/jasminehub/gateway/control/EndpointController.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/EndpointController.java
@@ -301,15 +301,17 @@
         if (!endpoints.containsKey(id)) {
             return;
         }
-        boolean mayReregister =
-                follower.isStoreLost() || follower.millisSinceRegained() < REREGISTRATION_MILLIS || eras.isRewriting();
+        boolean mayReregister = follower.isStoreLost()
+                || follower.millisSinceRegained(clock.monotonicMillis()) < REREGISTRATION_MILLIS
+                || eras.isRewriting();
         if (!mayReregister) {
             remove(id, "gone");
             return;
         }
         if (expiredAtMillis.putIfAbsent(id, clock.monotonicMillis()) == null) {
             long delayMillis = Math.max(
-                    Math.max(1, REREGISTRATION_MILLIS - follower.millisSinceRegained()), eras.rewriteRemainingMillis());
+                    Math.max(1, REREGISTRATION_MILLIS - follower.millisSinceRegained(clock.monotonicMillis())),
+                    eras.rewriteRemainingMillis());
             timer.runAfter(delayMillis, () -> {
                 if (expiredAtMillis.containsKey(id)) {
                     remove(id, "registration expired and was not renewed");
--- a/gateway/src/main/java/org/jasminehub/gateway/control/EvacuationController.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/EvacuationController.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.jasminehub.core.era.EraTracker;
@@ -99,7 +100,7 @@
     }
 
     @Override
-    public void onOperatorLog(LogSlice slice, boolean isSnapshot, long asOfMillis) {
+    public void onOperatorLog(LogSlice slice, boolean isSnapshot, OptionalLong asOfMillis) {
         StoreEra era = eras.current().orElse(new StoreEra(0));
         Map<FailureDomain, LogPosition> requests = new HashMap<>();
         List<EvacuationState> records = new ArrayList<>();
--- a/gateway/src/main/java/org/jasminehub/gateway/control/LogFollower.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/LogFollower.java
@@ -1,6 +1,7 @@
 package org.jasminehub.gateway.control;
 
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import org.jasminehub.core.balance.StateAge;
@@ -20,6 +21,9 @@
  * Follows a keyed log: reads the newest record of every key, then all later records. Starts again with the newest
  * records if the log no longer holds the next offset or if the store was restored from a copy.
  *
+ * <p>Only a read that reaches the end of the log confirms the state: the store limits the size of a response, so newer
+ * records may follow. All conclusions from what a log does not show are drawn from such reads.
+ *
  * <p>Must be used on the process's event loop only.
  */
 final class LogFollower {
@@ -43,9 +47,17 @@
          * Called with each successful read, before its records are passed on.
          *
          * @param isSnapshot whether the read returned the newest record of every key
-         * @param asOfMillis the monotonic time as of which the read is current
+         * @param asOfMillis the monotonic time as of which the records read so far are complete, empty if the read did
+         *     not reach the end of the log
+         */
+        default void onSlice(LogSlice slice, boolean isSnapshot, OptionalLong asOfMillis) {}
+
+        /**
+         * Called after a read that reached the end of the log, when its records have been passed on.
+         *
+         * @param asOfMillis the monotonic time as of which the records read so far are complete
          */
-        default void onSlice(LogSlice slice, boolean isSnapshot, long asOfMillis) {}
+        default void onEndReached(long asOfMillis) {}
 
         /** Returns whether the records read so far are at least as new as the state that is in use. */
         default boolean isUpToDate() {
@@ -62,7 +74,8 @@
     private final EraTracker eras;
     private final Listener listener;
     private final StateAge age;
-    private long nextOffset = -1;
+    private final ReadProgressLog progress;
+    private long nextOffset = LogSlice.UNKNOWN_OFFSET;
     private long retryDelayMillis = MIN_RETRY_MILLIS;
     private boolean isStoreLost;
     private boolean isStopped;
@@ -88,6 +101,7 @@
         this.eras = eras;
         this.listener = listener;
         this.age = new StateAge(clock);
+        this.progress = new ReadProgressLog(topic.name(), clock, events);
         eras.onRise(this::onEraRisen);
     }
 
@@ -107,7 +121,7 @@
 
     /** Reads the newest record of every key again. */
     void readAllAgain() {
-        nextOffset = -1;
+        nextOffset = LogSlice.UNKNOWN_OFFSET;
         restart();
     }
 
@@ -136,9 +150,12 @@
         return isStoreLost;
     }
 
-    /** Returns the time since the store recovered from an outage, or {@link Long#MAX_VALUE} if there was none. */
-    long millisSinceRegained() {
-        return regainedAtMillis == Long.MIN_VALUE ? Long.MAX_VALUE : clock.monotonicMillis() - regainedAtMillis;
+    /**
+     * Returns the time from the store's recovery from an outage to the monotonic time {@code atMillis}, or
+     * {@link Long#MAX_VALUE} if there was no outage.
+     */
+    long millisSinceRegained(long atMillis) {
+        return regainedAtMillis == Long.MIN_VALUE ? Long.MAX_VALUE : atMillis - regainedAtMillis;
     }
 
     private void read(int readGeneration) {
@@ -152,7 +169,7 @@
             return;
         }
         StateAge.ClockReading requestedAt = age.now();
-        boolean isSnapshot = nextOffset < 0;
+        boolean isSnapshot = nextOffset == LogSlice.UNKNOWN_OFFSET;
         CompletableFuture<LogSlice> pendingRead = isSnapshot
                 ? store.readNewest(topic, settings.timeoutMillis())
                 : store.readLog(topic, nextOffset, waitMillis, settings.timeoutMillis());
@@ -178,19 +195,54 @@
                     "unavailable for " + (regainedAtMillis - lostAtMillis) + " ms",
                     0));
         }
-        retryDelayMillis = MIN_RETRY_MILLIS;
-        nextOffset = slice.nextOffset();
+        boolean isSnapshot = waitMillis == NO_WAIT;
+        progress.onSlice(slice, nextOffset, age.millis());
+        nextOffset = nextOffset(slice, isSnapshot);
         StateAge.ClockReading asOf = confirmedAt(requestedAt, waitMillis, slice);
-        boolean isApplied = apply(slice, waitMillis == NO_WAIT, asOf.monotonicMillis());
+        boolean isApplied = apply(slice, isSnapshot, asOf.monotonicMillis());
         // After a restore the store does not show the lost records until they have been written again.
-        if (isApplied && eras.isCompleteSince(requestedAt.monotonicMillis()) && listener.isUpToDate()) {
+        if (isApplied
+                && slice.reachesEnd()
+                && eras.isCompleteSince(requestedAt.monotonicMillis())
+                && listener.isUpToDate()) {
             age.confirm(asOf);
         }
-        // The read after a snapshot follows at once, since records may have been appended meanwhile.
-        boolean hasNewRecords = waitMillis != NO_WAIT && !slice.records().isEmpty();
-        timer.runAfter(
-                hasNewRecords ? settings.pauseAfterRecordsMillis() : settings.pauseMillis(),
-                () -> read(readGeneration));
+        scheduleNextRead(readGeneration, slice, isSnapshot);
+    }
+
+    /** Without records before it, an end that cannot be means that the log does not hold the next offset. */
+    private static long nextOffset(LogSlice slice, boolean isSnapshot) {
+        boolean isOffsetLost = !isSnapshot && slice.records().isEmpty() && slice.endOffset() == LogSlice.UNKNOWN_OFFSET;
+        return isOffsetLost ? LogSlice.UNKNOWN_OFFSET : slice.nextOffset();
+    }
+
+    private void scheduleNextRead(int readGeneration, LogSlice slice, boolean isSnapshot) {
+        boolean hasNewRecords = !isSnapshot && !slice.records().isEmpty();
+        if (slice.reachesEnd()) {
+            retryDelayMillis = MIN_RETRY_MILLIS;
+            // The read after a snapshot follows at once, since records may have been appended meanwhile.
+            timer.runAfter(
+                    hasNewRecords ? settings.pauseAfterRecordsMillis() : settings.pauseMillis(),
+                    () -> read(readGeneration));
+        } else if (slice.isBehind() && (isSnapshot || hasNewRecords)) {
+            retryDelayMillis = MIN_RETRY_MILLIS;
+            // The state is known to be outdated, so pauses that save calls in calm times do not apply.
+            timer.runAfter(0, () -> readFurther(readGeneration));
+        } else {
+            timer.runAfter(Math.max(settings.pauseMillis(), nextRetryDelay()), () -> read(readGeneration));
+        }
+    }
+
+    private void readFurther(int readGeneration) {
+        if (readGeneration == generation) {
+            read(readGeneration, 0);
+        }
+    }
+
+    private long nextRetryDelay() {
+        long delayMillis = retryDelayMillis;
+        retryDelayMillis = Math.min(MAX_RETRY_MILLIS, retryDelayMillis * 2);
+        return delayMillis;
     }
 
     /**
@@ -199,12 +251,16 @@
      */
     private boolean apply(LogSlice slice, boolean isSnapshot, long asOfMillis) {
         try {
-            listener.onSlice(slice, isSnapshot, asOfMillis);
+            listener.onSlice(
+                    slice, isSnapshot, slice.reachesEnd() ? OptionalLong.of(asOfMillis) : OptionalLong.empty());
             if (isSnapshot) {
                 listener.onSnapshot(slice.records());
             } else if (!slice.records().isEmpty()) {
                 listener.onRecords(slice.records());
             }
+            if (slice.reachesEnd()) {
+                listener.onEndReached(asOfMillis);
+            }
             return true;
         } catch (RuntimeException | StackOverflowError e) {
             events.emit(new ControlEvent(
@@ -234,7 +290,7 @@
         Throwable cause =
                 thrown instanceof CompletionException && thrown.getCause() != null ? thrown.getCause() : thrown;
         if (cause instanceof HistoryTruncatedException) {
-            nextOffset = -1;
+            nextOffset = LogSlice.UNKNOWN_OFFSET;
             read(readGeneration);
             return;
         }
@@ -246,9 +302,7 @@
             lostAtMillis = clock.monotonicMillis();
             events.emit(new ControlEvent(ControlEventKind.STORE_LOST, topic.name(), describe(cause), age.millis()));
         }
-        long pauseMillis = retryDelayMillis;
-        retryDelayMillis = Math.min(MAX_RETRY_MILLIS, retryDelayMillis * 2);
-        timer.runAfter(pauseMillis, () -> read(readGeneration));
+        timer.runAfter(nextRetryDelay(), () -> read(readGeneration));
     }
 
     private static String describe(@Nullable Throwable cause) {
--- a/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/GatewayHarness.java
@@ -240,6 +240,15 @@
         store.put("keyed.op", "config", CONFIGURATION.formatted(version, key, maxBodyBytes));
     }
 
+    /** Publishes a configuration that is larger by {@code paddingBytes}, as one with many routes is. */
+    static void putLargeConfiguration(InMemoryStore store, long version, String key, int paddingBytes) {
+        String padding = "{\"padding\":\"" + "p".repeat(paddingBytes) + "\",";
+        store.put(
+                "keyed.op",
+                "config",
+                padding + CONFIGURATION.formatted(version, key, MAX_BODY_BYTES).substring(1));
+    }
+
     static void putRegistration(InMemoryStore store, String domain, String id, int port, String state, long sequence) {
         store.put(
                 "keyed.servers",
--- a/gateway/src/test/java/org/jasminehub/gateway/InMemoryStore.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/InMemoryStore.java
@@ -29,6 +29,9 @@
 final class InMemoryStore {
     private record Entry(String key, byte[] value) {}
 
+    /** The default limit of a read; later records are returned by the next one. */
+    private static final int MAX_READ_BYTES = 1_024 << 10;
+
     private final EventLoop loop;
     private final CallerServer server;
     private final List<CallerServer> otherServers = new CopyOnWriteArrayList<>();
@@ -190,6 +193,9 @@
         for (Entry entry : log.subList(Math.min(from, log.size()), log.size())) {
             byte[] key = entry.key().getBytes(StandardCharsets.UTF_8);
             int length = 1 + key.length + entry.value().length;
+            if (out.size() > 16 && out.size() + length > MAX_READ_BYTES) {
+                break;
+            }
             out.writeBytes(ByteBuffer.allocate(4 + length)
                     .putInt(length)
                     .put((byte) key.length)
--- a/gateway/src/test/java/org/jasminehub/gateway/control/EvacuationControllerTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/control/EvacuationControllerTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import org.jasminehub.core.balance.QuietPeriods;
 import org.jasminehub.core.era.EraTracker;
@@ -98,7 +99,8 @@
 
     private void read(long offset, String key, boolean isPresent) {
         KeyedRecord record = new KeyedRecord(key, isPresent ? new byte[] {1} : null, offset);
-        evacuations.onOperatorLog(new LogSlice(offset + 1, List.of(record)), false, clock.monotonicMillis());
+        evacuations.onOperatorLog(
+                new LogSlice(offset + 1, offset + 1, List.of(record)), false, OptionalLong.of(clock.monotonicMillis()));
     }
 
     private List<String> serving() {
--- a/gateway/src/test/java/org/jasminehub/gateway/control/LogFollowerTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/control/LogFollowerTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.jasminehub.core.error.InvalidArgumentException;
+import org.jasminehub.core.event.Event;
 import org.jasminehub.platform.PlatformException;
 import org.jasminehub.platform.hosted.KeyedRecord;
 import org.junit.jupiter.api.BeforeEach;
@@ -159,6 +160,148 @@
         assertEquals(0, follower.age().millis());
     }
 
+    /** Guards against a state that counts as confirmed although the read did not show the end of the log. */
+    @Nested
+    final class Ends {
+        private LogFollower follower;
+
+        private void follow(FollowerSettings settings) {
+            follower = store.follow(settings, listener);
+            follower.restart();
+            store.answerEmptySnapshot();
+            store.advance(settings.pauseMillis());
+            assertEquals(settings.pauseMillis(), follower.age().millis());
+        }
+
+        private void followInBatches() {
+            follow(FollowerSettings.batching(() -> WAIT_MILLIS, BATCH_MILLIS, TIMEOUT_MILLIS));
+        }
+
+        @Test
+        void testAReadThatStopsBeforeTheEndConfirmsNothing() {
+            followInBatches();
+            store.advance(5_000);
+            follower.readNow();
+            store.reads.remove();
+
+            store.answerRecordsOfLog(3, "a");
+
+            assertEquals(List.of("a"), keys);
+            assertEquals(5_000, follower.age().millis());
+        }
+
+        @Test
+        void testTheNextReadFollowsWithoutPauseOrWaitUntilTheEndIsReached() {
+            for (FollowerSettings settings : List.of(
+                    FollowerSettings.batching(() -> WAIT_MILLIS, BATCH_MILLIS, TIMEOUT_MILLIS),
+                    FollowerSettings.polling(800, TIMEOUT_MILLIS),
+                    FollowerSettings.waiting(() -> WAIT_MILLIS, TIMEOUT_MILLIS))) {
+                store.reads.clear();
+                keys.clear();
+                follow(settings);
+
+                store.answerRecordsOfLog(3, "a");
+                assertEquals(1, store.nextFrom());
+                assertFalse(store.reads.element().uri().contains("wait_ms"));
+                store.answerRecordsOfLog(3, "b");
+                assertEquals(2, store.nextFrom());
+                store.advance(7);
+                store.answerRecordsOfLog(3, "c");
+
+                assertEquals(List.of("a", "b", "c"), keys);
+                assertEquals(7, follower.age().millis());
+                follower.stop();
+            }
+        }
+
+        /** Each read confirms the state as of its request although the log never stands still. */
+        @Test
+        void testALogToWhichRecordsAreAppendedAllTheTimeIsConfirmedWithEachRead() {
+            follow(FollowerSettings.polling(800, TIMEOUT_MILLIS));
+            for (int read = 1; read <= 50; read++) {
+                store.advance(5);
+                long from = store.nextFrom();
+                store.answerRecordsOfLog(from + 2, "a", "b");
+                assertEquals(5, follower.age().millis());
+                store.advance(800);
+            }
+        }
+
+        @Test
+        void testAnEndThatCannotBeConfirmsNothingAndLosesNoRecord() {
+            followInBatches();
+            store.answerRecords("a", "b");
+            store.advance(BATCH_MILLIS);
+            long ageMillis = follower.age().millis();
+
+            store.answerRecordsOfLog(1, "c");
+
+            assertEquals(List.of("a", "b", "c"), keys);
+            assertEquals(ageMillis, follower.age().millis());
+            store.advance(1_000);
+            assertEquals(3, store.nextFrom());
+            store.answerRecordsOfLog(4, "d");
+            assertEquals(0, follower.age().millis());
+            assertEquals(List.of("a", "b", "c", "d"), keys);
+        }
+
+        @Test
+        void testALogThatEndsBeforeTheNextOffsetIsReadFromItsNewestRecords() {
+            followInBatches();
+            store.answerRecords("a", "b");
+            store.advance(BATCH_MILLIS);
+
+            store.answerRecordsOfLog(1);
+            store.advance(1_000);
+
+            assertTrue(store.reads.element().uri().contains("/log-newest"));
+        }
+
+        /** Guards against reads without a pause if the store never shows the records that it states. */
+        @Test
+        void testReadsWithoutRecordsBeforeTheEndFollowWithGrowingPauses() {
+            followInBatches();
+            int reads = 0;
+            for (int millis = 0; millis < 10_000; millis += 10) {
+                if (!store.reads.isEmpty()) {
+                    reads++;
+                    store.answerRecordsOfLog(Long.MAX_VALUE);
+                }
+                store.advance(10);
+            }
+
+            assertTrue(reads <= 20, reads + " reads in 10 s");
+            assertEquals(10_000, follower.age().millis());
+        }
+
+        @Test
+        void testTheLogStatesOnceThatReadsAreBehind() {
+            followInBatches();
+            for (int read = 0; read < 20; read++) {
+                store.answerRecordsOfLog(21, "a");
+            }
+            store.answerRecordsOfLog(21, "a");
+
+            assertEquals(
+                    List.of(ControlEventKind.STORE_READ_BEHIND, ControlEventKind.STORE_READ_COMPLETED),
+                    store.events.stream().map(Event::kind).toList());
+            assertTrue(store.events.get(0).toString().contains("read to offset 1 of a log that ends at 21"));
+        }
+
+        @Test
+        void testLinesAboutReadsAreBounded() {
+            followInBatches();
+            for (int read = 0; read < 1_000; read++) {
+                long from = store.nextFrom();
+                store.answerRecordsOfLog(from + 2, "a");
+                store.answerRecordsOfLog(from + 2, "b");
+                store.advance(BATCH_MILLIS);
+            }
+
+            assertTrue(store.events.size() <= 2 * 1_000 * BATCH_MILLIS / 1_000 + 2, store.events.size() + " lines");
+        }
+    }
+
     private LogFollower.Listener failingOn(String key) {
         return new LogFollower.Listener() {
             @Override
