Nothing counts as missing before its log was read to the end

After an outage an endpoint whose registration had expired was removed after 2.2 s by a timer, whatever had been read until then, and at once if the removal was read later. Its renewed registration may lie in the next read, or have been appended since the last poll, 800 ms before. A list of instances counted as read after its pages, without the records appended meanwhile, and instances missing from it were dropped; a process that starts decides by that list whether the store is complete.

An endpoint or instance that is missing from the records read so far is now kept until a read reaches the end of the log, and after an outage or a restore until such a read is as new as the time within which registrations are renewed; that read is sent when the time is over. Without an outage, a removal still takes effect with the read that shows it.

--- a/gateway/src/main/java/org/jasminehub/gateway/control/EndpointController.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/EndpointController.java
@@ -42,7 +42,6 @@
     private static final long REREGISTRATION_MILLIS = 2_200;
 
     private final EventSink events;
-    private final Clock clock;
     private final DelayedRunner timer;
     private final LogFollower follower;
     private final EraTracker eras;
@@ -51,8 +50,11 @@
     private final Predicate<FailureDomain> isEvacuated;
     private final RejectionLog rejections;
     private final Map<EndpointId, EndpointRecord> endpoints = new HashMap<>();
-    private final Map<EndpointId, Long> expiredAtMillis = new HashMap<>();
+    /** The endpoints without a registration in the records read so far, with the reason to log for their removal. */
+    private final Map<EndpointId, String> missing = new HashMap<>();
+
     private Map<String, List<EndpointRecord>> servingByService = Map.of();
+    private boolean isReadScheduled;
     private Runnable onChanged = () -> {};
     private Consumer<EndpointRecord> onUnavailable = endpoint -> {};
     private Consumer<EndpointRegistration> onRegistration = registration -> {};
@@ -76,7 +78,6 @@
         this.eras = eras;
         this.history = new EndpointHistory(eras, clock);
         this.leaving = new LeavingEndpoints(clock);
-        this.clock = clock;
         this.timer = timer;
         this.follower = new LogFollower(
                 store, StoreTopic.ENDPOINTS, settings, timer, clock, events, eras, new LogFollower.Listener() {
@@ -90,6 +91,11 @@
                         records.forEach(EndpointController.this::onRecord);
                         publish();
                     }
+
+                    @Override
+                    public void onEndReached(long asOfMillis) {
+                        removeMissing(asOfMillis);
+                    }
                 });
     }
 
@@ -227,7 +233,7 @@
                 listed.add(new EndpointId(record.key()));
             }
         }
-        for (EndpointId known : List.copyOf(endpoints.keySet())) {
+        for (EndpointId known : endpoints.keySet()) {
             if (!listed.contains(known)) {
                 onMissing(known);
             }
@@ -274,7 +280,7 @@
         }
         history.onAccepted(registration);
         onRegistration.accept(registration);
-        expiredAtMillis.remove(decoded.id());
+        missing.remove(decoded.id());
         EndpointRecord previous = endpoints.put(decoded.id(), decoded);
         if (previous != null && !previous.isSameIncarnation(decoded)) {
             onUnavailable.accept(previous);
@@ -298,31 +304,48 @@
     }
 
     private void onMissing(EndpointId id) {
-        if (!endpoints.containsKey(id)) {
+        if (endpoints.containsKey(id)) {
+            missing.putIfAbsent(id, "gone");
+        }
+    }
+
+    /**
+     * Removes the endpoints that are missing from the log as of {@code asOfMillis}, unless their registrations may have
+     * expired during an outage of the store and may still be renewed.
+     */
+    private void removeMissing(long asOfMillis) {
+        if (missing.isEmpty()) {
             return;
         }
-        boolean mayReregister = follower.isStoreLost()
-                || follower.millisSinceRegained(clock.monotonicMillis()) < REREGISTRATION_MILLIS
-                || eras.isRewriting();
-        if (!mayReregister) {
-            remove(id, "gone");
+        long outageMillis =
+                REREGISTRATION_MILLIS - Math.min(REREGISTRATION_MILLIS, follower.millisSinceRegained(asOfMillis));
+        long restoreMillis = eras.isCompleteSince(asOfMillis) ? 0 : Math.max(1, eras.rewriteRemainingMillis());
+        long renewalMillis = Math.max(outageMillis, restoreMillis);
+        if (renewalMillis > 0) {
+            missing.replaceAll((id, reason) -> "registration expired and was not renewed");
+            readAfter(renewalMillis);
             return;
         }
-        if (expiredAtMillis.putIfAbsent(id, clock.monotonicMillis()) == null) {
-            long delayMillis = Math.max(
-                    Math.max(1, REREGISTRATION_MILLIS - follower.millisSinceRegained(clock.monotonicMillis())),
-                    eras.rewriteRemainingMillis());
-            timer.runAfter(delayMillis, () -> {
-                if (expiredAtMillis.containsKey(id)) {
-                    remove(id, "registration expired and was not renewed");
-                    publish();
-                }
-            });
+        Map.copyOf(missing).forEach(this::remove);
+        publish();
+    }
+
+    /** Reads the log once the missing registrations must have been renewed. */
+    private void readAfter(long delayMillis) {
+        if (isReadScheduled) {
+            return;
         }
+        isReadScheduled = true;
+        timer.runAfter(delayMillis, () -> {
+            isReadScheduled = false;
+            if (!missing.isEmpty()) {
+                follower.readNow();
+            }
+        });
     }
 
     private void remove(EndpointId id, String reason) {
-        expiredAtMillis.remove(id);
+        missing.remove(id);
         history.onDeparted(id);
         @Nullable EndpointRecord previous = endpoints.remove(id);
         if (previous != null) {
--- a/gateway/src/main/java/org/jasminehub/gateway/control/InstanceDirectory.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/InstanceDirectory.java
@@ -35,7 +35,11 @@
     private final LogFollower follower;
     private final Map<String, InstanceRecord> instances = new HashMap<>();
     private final Map<String, Long> quarantinedUntilWallMillis = new HashMap<>();
+    /** The instances without a registration in the last snapshot; the records after it may hold one. */
+    private final Set<String> unlisted = new HashSet<>();
+
     private Runnable onChanged = () -> {};
+    private boolean isSnapshotPending;
     private boolean hasRead;
 
     /** Creates an empty directory. */
@@ -63,6 +67,11 @@
                         records.forEach(InstanceDirectory.this::onRecord);
                         onChanged.run();
                     }
+
+                    @Override
+                    public void onEndReached(long asOfMillis) {
+                        removeUnlisted();
+                    }
                 });
         // Instances that are missing from the restored store register again shortly after the lost records count as
         // written again; those that do not are dropped then.
@@ -103,7 +112,7 @@
         return Map.copyOf(quarantinedUntilWallMillis);
     }
 
-    /** Returns whether the directory has been read from the store. */
+    /** Returns whether the directory has been read up to the end of its log. */
     public boolean hasRead() {
         return hasRead;
     }
@@ -126,13 +135,26 @@
             onRecord(record);
             listed.add(record.key());
         });
-        if (isSettled()) {
-            instances.keySet().retainAll(listed);
+        unlisted.clear();
+        unlisted.addAll(instances.keySet());
+        unlisted.add(registration.self().getInstance());
+        unlisted.removeAll(listed);
+        isSnapshotPending = true;
+    }
+
+    /** Draws the conclusions from a snapshot, once the records up to the end of the log have been read. */
+    private void removeUnlisted() {
+        if (!isSnapshotPending) {
+            return;
         }
+        isSnapshotPending = false;
         hasRead = true;
-        if (!eras.isRewriting()
-                && registration.isRegistered()
-                && !listed.contains(registration.self().getInstance())) {
+        if (isSettled()) {
+            instances.keySet().removeAll(unlisted);
+        }
+        boolean isSelfUnlisted = unlisted.contains(registration.self().getInstance());
+        unlisted.clear();
+        if (!eras.isRewriting() && registration.isRegistered() && isSelfUnlisted) {
             registration.register();
         }
         onChanged.run();
@@ -150,6 +172,7 @@
             }
             return;
         }
+        unlisted.remove(record.key());
         try {
             InstanceRecord decoded = InstanceRecordDecoder.decode(record.key(), value);
             if (!decoded.equals(instances.put(record.key(), decoded))) {
