An empty page before the end of the log is no end

The reader of fencing numbers took a page without records for the end of the log, also before the end that the log had stated, and set the lowest valid numbers from the part that it had read: orders of an earlier holder could be accepted. The read fails now, as one that cannot be completed, and the caller may repeat it.

--- a/agent/src/main/java/org/jasminehub/agent/lease/FencingNumberReader.java
+++ b/agent/src/main/java/org/jasminehub/agent/lease/FencingNumberReader.java
@@ -8,6 +8,7 @@
 import org.jasminehub.core.lease.LeaseTable;
 import org.jasminehub.core.lease.OrderGate;
 import org.jasminehub.core.lease.ShardId;
+import org.jasminehub.platform.PlatformException;
 import org.jasminehub.platform.log.LogPage;
 import org.jasminehub.platform.log.LogRecord;
 import org.jasminehub.platform.log.LogService;
@@ -66,11 +67,15 @@
             codec.decode(logRecord.payload()).ifPresent(lease -> table.apply(logRecord.offset(), lease));
             table.advanceTo(logRecord.offset() + 1);
         }
-        boolean isAtEnd = page.records().isEmpty() || table.nextOffset() >= endOffset;
-        if (isAtEnd) {
+        if (table.nextOffset() >= endOffset) {
             updateGate(table);
             return CompletableFuture.completedFuture(null);
         }
+        if (page.records().isEmpty()) {
+            // The records up to the end may hold newer leases, whose numbers are the lowest valid ones.
+            return CompletableFuture.failedFuture(new PlatformException(
+                    "log", "returned no record at offset " + table.nextOffset() + " of " + endOffset, null));
+        }
         return log.read(table.nextOffset(), MAX_RECORDS, NO_WAIT_MILLIS)
                 .thenCompose(next -> readToEnd(table, next, endOffset));
     }
