An instance accepts callers once it knows the other instances

A process that had read the configuration and the endpoints, but not the registrations of the other instances, was ready for callers. Until then it counted itself as the only instance and used the whole reserve of the retry budget and the whole rate limits of endpoints. It now becomes ready after it has read its directory to the end as well. The directory is read from the same store at the same time, so a start takes no longer unless that read fails.

--- a/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/EntryProgram.java
@@ -352,8 +352,9 @@
         }
         boolean isFresh = configuration.inForce().isPresent()
                 && configuration.ageMillis() < settings.revocationMillis() * FRESH_SHARE;
-        boolean isNowReady =
-                storeReliability.isReliable() && isFresh && endpoints.ageMillis() != Long.MAX_VALUE && !isStopping;
+        // Shares of the retry budget and of rate limits depend on the number of instances.
+        boolean hasRead = endpoints.ageMillis() != Long.MAX_VALUE && instances.hasRead();
+        boolean isNowReady = storeReliability.isReliable() && isFresh && hasRead && !isStopping;
         if (isNowReady != isReady) {
             isReady = isNowReady;
             events.emit(new ControlEvent(
--- a/gateway/src/test/java/org/jasminehub/gateway/InMemoryStore.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/InMemoryStore.java
@@ -11,9 +11,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -38,6 +40,7 @@
     private final Map<String, List<Entry>> logsByTopic = new LinkedHashMap<>();
     private final Map<String, Integer> callsByTopicAndKind = new TreeMap<>();
     private long era = 1;
+    private final Set<String> topicsDown = new HashSet<>();
     private boolean isDown;
 
     InMemoryStore(EventLoop loop) {
@@ -123,6 +126,15 @@
         isDown = down;
     }
 
+    /** Sets whether the store refuses the calls for {@code topic}. */
+    synchronized void setTopicDown(String topic, boolean down) {
+        if (down) {
+            topicsDown.add(topic);
+        } else {
+            topicsDown.remove(topic);
+        }
+    }
+
     void close() {
         server.close();
         otherServers.forEach(CallerServer::close);
@@ -133,7 +145,7 @@
         QueryStringDecoder query = new QueryStringDecoder(request.uri());
         String topic = query.parameters().get("topic").get(0);
         count(topic, query, request);
-        if (isUnavailable.getAsBoolean()) {
+        if (isUnavailable.getAsBoolean() || topicsDown.contains(topic)) {
             respond(answer, HttpResponseStatus.SERVICE_UNAVAILABLE, new byte[0]);
             return CallerExchange.COMPLETED;
         }
