Versions before the one in force are not decoded

If a peer had sent the last version of a backlog already, an instance decoded every earlier version that it read, since none was newer than the one in force. Each one is the whole configuration, and decoding holds the event loop. Versions of the log only increase, so the search ends at the version in force.

--- a/gateway/src/main/java/org/jasminehub/gateway/control/ConfigurationController.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/ConfigurationController.java
@@ -208,9 +208,11 @@
             KeyedRecord record = records.get(index);
             byte[] value = record.value();
             if (record.key().equals(StoreTopic.CONFIGURATION_KEY) && value != null) {
-                RouteTable previous = inForce;
-                newestStoredVersion = Math.max(newestStoredVersion, apply(value));
-                if (inForce != previous) {
+                long version = apply(value);
+                newestStoredVersion = Math.max(newestStoredVersion, version);
+                RouteTable known = inForce;
+                // Versions only increase, so the records before this one hold older versions.
+                if (known != null && version == known.version()) {
                     return;
                 }
             }
--- a/gateway/src/test/java/org/jasminehub/gateway/control/ConfigurationControllerTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/control/ConfigurationControllerTest.java
@@ -1,6 +1,7 @@
 package org.jasminehub.gateway.control;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
@@ -96,6 +97,19 @@
             assertEquals(List.of("version 1", "version 10"), applied());
         }
 
+        /** Guards against decoding a whole backlog because a peer has sent its last version already. */
+        @Test
+        void testVersionsBeforeTheOneThatAPeerSentAreNotDecoded() {
+            store.answerKeyedRecords(5, versions(2, 3));
+            byte[] copy = version(5).value();
+            assertNotNull(copy);
+            configuration.onPeerConfiguration(copy);
+            store.answerKeyedRecords(5, record("{"), version(5));
+
+            assertEquals(0, configuration.ageMillis());
+            assertTrue(store.events.stream().noneMatch(event -> event.kind() == ControlEventKind.RECORD_REJECTED));
+        }
+
         @Test
         void testAVersionBeforeOtherRecordsIsAppliedAtTheEndOfTheLog() {
             store.answerKeyedRecords(4, versions(2, 3));
