Listed instances count before the end of their log is read

The list of instances was passed on only after its log had been read to the end, so with a store that states no valid end no instance would be connected. Listed instances now count at once, as before; only what is missing from the list waits for the end. InstanceDirectoryTest: the new test fails before.

--- a/gateway/src/main/java/org/jasminehub/gateway/control/InstanceDirectory.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/InstanceDirectory.java
@@ -140,6 +140,7 @@
         unlisted.add(registration.self().getInstance());
         unlisted.removeAll(listed);
         isSnapshotPending = true;
+        onChanged.run();
     }
 
     /** Draws the conclusions from a snapshot, once the records up to the end of the log have been read. */
--- a/gateway/src/test/java/org/jasminehub/gateway/control/InstanceDirectoryTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/control/InstanceDirectoryTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import org.jasminehub.platform.hosted.KeyedRecord;
@@ -67,6 +68,17 @@
             assertEquals(List.of("entry-2", "entry-3"), names());
         }
 
+        /** Guards against instances that stay unconnected because the store states no valid end. */
+        @Test
+        void testListedInstancesCountAtOnceAlthoughTheEndIsUnknown() {
+            List<List<String>> changes = new ArrayList<>();
+            directory.start(() -> changes.add(names()));
+            store.answerNewest(-1, record("entry-2"));
+
+            assertEquals(List.of(List.of("entry-2")), changes);
+            assertFalse(directory.hasRead());
+        }
+
         @Test
         void testAnInstanceThatFollowsTheListIsKept() {
             directory.start(() -> {});
