--- a/app/src/main/java/org/jasminehub/app/BenchCommand.java
+++ b/app/src/main/java/org/jasminehub/app/BenchCommand.java
@@ -12,7 +12,6 @@
 import org.jasminehub.bench.documents.DocumentsBench;
 import org.jasminehub.bench.experts.ExpertsBench;
 import org.jasminehub.bench.operation.OperationBench;
-import org.jasminehub.bench.recovery.StoreRecoveryBench;
 import org.jasminehub.bench.routing.RoutingBench;
 import org.jasminehub.bench.start.StartBench;
 
@@ -32,7 +31,6 @@
         benches.put("experts", ExpertsBench::run);
         benches.put("operations", sink -> OperationBench.run(sink, new String[0]));
         benches.put("path", PathBench::run);
-        benches.put("recovery", StoreRecoveryBench::run);
         benches.put("routing", sink -> RoutingBench.run(sink));
         benches.put("start", StartBench::run);
     }
--- a/bench/src/main/java/org/jasminehub/bench/start/StartBench.java
+++ b/bench/src/main/java/org/jasminehub/bench/start/StartBench.java
@@ -1,9 +1,13 @@
 package org.jasminehub.bench.start;
 
+import java.io.File;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
@@ -29,22 +33,22 @@
     private static final String HOST = "127.0.0.1";
 
     private final PrintStream out;
-    private final PackagedPrograms programs;
+    private final Path root;
     private final Path folder;
 
-    private StartBench(PrintStream out, PackagedPrograms programs, Path folder) {
+    private StartBench(PrintStream out, Path root, Path folder) {
         this.out = out;
-        this.programs = programs;
+        this.root = root;
         this.folder = folder;
     }
 
     /** Runs the programs and prints the table. */
     public static void run(PrintStream out) {
-        PackagedPrograms programs = PackagedPrograms.find();
+        Path root = findRoot();
         try {
             Path folder = Files.createTempDirectory("start-bench");
             try {
-                new StartBench(out, programs, folder).measure();
+                new StartBench(out, root, folder).measure();
             } finally {
                 delete(folder);
             }
@@ -63,7 +67,7 @@
             double[] listening = new double[RUNS];
             double[] later = new double[RUNS];
             for (int run = 0; run < RUNS; run++) {
-                int port = PackagedPrograms.freePort();
+                int port = freePort();
                 try (StartedProgram program = start(role, port, List.of())) {
                     program.awaitListening(port);
                     listening[run] = program.cpuSeconds();
@@ -97,18 +101,16 @@
 
     private StartedProgram start(String role, int port, List<String> options) throws IOException {
         Path settings = folder.resolve(role + ".yaml");
-        Files.writeString(
-                settings,
-                role.equals("entry")
-                        ? PackagedPrograms.entrySettings(port, PackagedPrograms.freePort())
-                        : agentSettings(port));
-        return programs.start(role, settings, options, folder.resolve("output.log"));
+        Files.writeString(settings, role.equals("entry") ? entrySettings(port) : agentSettings(port));
+        List<String> command = new ArrayList<>(command(role));
+        command.addAll(1, options);
+        return StartedProgram.start(command, root, settings, folder.resolve("output.log"));
     }
 
     /** Returns the lines of the class loading log of a start. */
     private List<String> loadedClasses(String role) throws IOException {
         Path log = folder.resolve("classes.log");
-        int port = PackagedPrograms.freePort();
+        int port = freePort();
         try (StartedProgram program = start(role, port, List.of("-Xlog:class+load:file=" + log))) {
             program.awaitListening(port);
             LockSupport.parkNanos(SETTLE_NANOS);
@@ -116,6 +118,50 @@
         return Files.readAllLines(log);
     }
 
+    /** Returns the command line of {@code role} in {@code deploy/system.toml}. */
+    private List<String> command(String role) throws IOException {
+        boolean isInSection = false;
+        for (String line : Files.readAllLines(root.resolve("deploy/system.toml"))) {
+            if (line.startsWith("[")) {
+                isInSection = line.equals("[roles." + role + "]");
+            } else if (isInSection && line.startsWith("run = \"")) {
+                return List.of(line.substring(line.indexOf('"') + 1, line.lastIndexOf('"'))
+                        .split(" "));
+            }
+        }
+        throw new BenchException("deploy/system.toml has no command line for " + role, null);
+    }
+
+    private static String entrySettings(int callerPort) throws IOException {
+        return """
+                instance: "bench-entry"
+                failureDomain: "here"
+                callerAddress: "%1$s:%2$d"
+                readinessAddress: "%1$s:0"
+                directoryAddress: "%1$s:0"
+                peerAddress: "%1$s:0"
+                metricsPort: 0
+                agentPort: 1
+                seeds: []
+                storeAddress: "%1$s:%3$d"
+                revocationMillis: 5000
+                drainMillis: 2000
+                graceSeconds: 1
+                addressTtlSeconds: 1
+                processorShare: 1
+                processorSpeed: 1
+                repeatRatio: 0.2
+                repeatReserve: 240
+                repeatWindowSeconds: 10
+                capacity:
+                  sharedQueuesMinInstances: 0
+                  crossDomainCost: 0
+                  homeDomainMinEndpoints: 0
+                clients:
+                  memoryShare: 0.4
+                """.formatted(HOST, callerPort, freePort());
+    }
+
     private static String agentSettings(int agentPort) throws IOException {
         return """
                 instance: "bench-agent"
@@ -124,7 +170,13 @@
                 agentPort: %2$d
                 engineAddress: "%1$s:1"
                 storeAddress: "%1$s:%3$d"
-                """.formatted(HOST, agentPort, PackagedPrograms.freePort());
+                """.formatted(HOST, agentPort, freePort());
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
     }
 
     private static int count(List<String> lines, String text) {
@@ -141,6 +193,19 @@
                 seconds[seconds.length - 1]);
     }
 
+    /** Returns the source tree that contains the running program. */
+    private static Path findRoot() {
+        String program = System.getProperty("java.class.path", "").split(File.pathSeparator)[0];
+        Path path = Path.of(program).toAbsolutePath();
+        while (path != null && !Files.exists(path.resolve("deploy/system.toml"))) {
+            path = path.getParent();
+        }
+        if (path == null || !Files.exists(path.resolve("target/gateway.jsa"))) {
+            throw new BenchException("no artifacts in target/; run deploy/build first", null);
+        }
+        return path;
+    }
+
     private static void delete(Path folder) throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
             for (Path file : files.toList()) {
--- a/bench/src/main/java/org/jasminehub/bench/start/StartedProgram.java
+++ b/bench/src/main/java/org/jasminehub/bench/start/StartedProgram.java
@@ -12,7 +12,7 @@
 import org.jasminehub.bench.BenchException;
 
 /** A running process of a packaged program; closing it ends the process. */
-public final class StartedProgram implements AutoCloseable {
+final class StartedProgram implements AutoCloseable {
     private static final String SETTINGS_VARIABLE = "JASMINEHUB_BOOT";
     private static final long LISTEN_NANOS = TimeUnit.SECONDS.toNanos(60);
     private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(2);
@@ -36,7 +36,7 @@
     }
 
     /** Waits until the process accepts connections on {@code port}. */
-    public void awaitListening(int port) throws IOException {
+    void awaitListening(int port) throws IOException {
         long endNanos = System.nanoTime() + LISTEN_NANOS;
         while (!accepts(port)) {
             if (!process.isAlive() || System.nanoTime() > endNanos) {
