--- a/gateway/src/main/java/org/jasminehub/gateway/control/LogFollower.java
+++ b/gateway/src/main/java/org/jasminehub/gateway/control/LogFollower.java
@@ -210,7 +210,7 @@
         scheduleNextRead(readGeneration, slice, isSnapshot);
     }
 
-    /** Without records before it, an end that cannot be means that the log does not hold the next offset. */
+    /** Without records, an invalid end means that the log does not hold the next offset. */
     private static long nextOffset(LogSlice slice, boolean isSnapshot) {
         boolean isOffsetLost = !isSnapshot && slice.records().isEmpty() && slice.endOffset() == LogSlice.UNKNOWN_OFFSET;
         return isOffsetLost ? LogSlice.UNKNOWN_OFFSET : slice.nextOffset();
