SmallPartsTest writes responses only once the event loop is held

Cause: the test passes the event loop a task that holds it until all responses have arrived, but wrote the first response without waiting until the task runs. A loop that is still in its select reads the first response at once, 2 KiB (3 ms), and reads it again after the task, 8 KiB (9 ms), before it reads the others.

Ruled out: BoundedReads.

Change: the responses are written after the task has begun. The bound stays.

--- a/gateway/src/test/java/org/jasminehub/gateway/net/SmallPartsTest.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/net/SmallPartsTest.java
@@ -152,8 +152,14 @@
         for (int index = 0; index < SOUND_ENDPOINTS; index++) {
             sound.add(request(new WaitRecorder()));
         }
+        CountDownLatch isHeld = new CountDownLatch(1);
         CountDownLatch hasArrived = new CountDownLatch(1);
-        loop.execute(() -> awaitUninterruptibly(hasArrived));
+        loop.execute(() -> {
+            isHeld.countDown();
+            awaitUninterruptibly(hasArrived);
+        });
+        // A loop that is not held yet would read the first response before the others have arrived.
+        assertTrue(isHeld.await(TIMEOUT_SECONDS, TimeUnit.SECONDS), "the event loop did not run the task");
         for (Requested connection : flooding) {
             connection.write(flood);
         }
