A closed stand-in endpoint accepts no more connections

Cause: ScriptedEndpoint.close() returned while its thread was still inside accept. Until that call returns, the operating system keeps the socket listening. The instance checks a crashed endpoint by connecting to it; while the port still accepted connections, it took the crash for a reset connection and did not count it, so more endpoints crashed before the part was blamed.

An engine process that ends leaves no thread in accept, so the check of the product is unchanged.

Change: close() waits for the accepting thread to end.

--- a/gateway/src/test/java/org/jasminehub/gateway/ScriptedEndpoint.java
+++ b/gateway/src/test/java/org/jasminehub/gateway/ScriptedEndpoint.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.InterruptedIOException;
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
@@ -49,6 +50,7 @@
     private final boolean isBodyRead;
     private final BlockingQueue<Request> requests = new LinkedBlockingQueue<>();
     private final BlockingQueue<Boolean> closes = new LinkedBlockingQueue<>();
+    private final Thread acceptor;
     private final AtomicInteger openConnections = new AtomicInteger();
 
     /** Starts an endpoint that takes its replies from {@code script}, which may be shared with other endpoints. */
@@ -65,7 +67,7 @@
             listener.setReceiveBufferSize(receiveBufferBytes);
         }
         listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG);
-        Thread acceptor = new Thread(this::accept, "endpoint");
+        acceptor = new Thread(this::accept, "endpoint");
         acceptor.setDaemon(true);
         acceptor.start();
     }
@@ -119,9 +121,17 @@
         };
     }
 
+    /** Stops listening: after the return, connections to the port are refused. */
     @Override
     public void close() throws IOException {
         listener.close();
+        // The operating system listens until the accepting thread has left its call of accept.
+        try {
+            acceptor.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new InterruptedIOException("interrupted while the endpoint stops listening");
+        }
     }
 
     private void accept() {
