BookingFailureTest begins once the service's closed connections are noticed

Cause: the agent still had an idle connection from the warm-up and had not yet noticed that the service reset it. It sent the booking on this connection, and the call failed with "Connection reset". A call that fails after it was sent may have run, so unknown is the right answer.

Change: the test waits until another booking is refused before it sends the first one.

--- a/app/src/test/java/org/jasminehub/app/operations/BookingFailureTest.java
+++ b/app/src/test/java/org/jasminehub/app/operations/BookingFailureTest.java
@@ -55,6 +55,16 @@
         return response;
     }
 
+    /**
+     * Waits until the agent has noticed that its idle connections to the service are closed. A call that it sends on one
+     * of them fails after it was sent, so that its outcome is unknown.
+     */
+    private void awaitRefusedConnections() {
+        BookingSystem.await(() -> system.post(1, system.keyWithHome(HOME), "{\"trip\":\"down\"}")
+                .body()
+                .contains("\"outcome\":\"not-run\""));
+    }
+
     private void killHome() {
         system.agents.get(HOME).close();
     }
@@ -117,6 +127,7 @@
         void testServiceThatIsDownIsReportedAsNotRun() {
             String key = system.keyWithHome(HOME);
             system.bookings.close();
+            awaitRefusedConnections();
             assertOutcome("not-run", system.post(1, key, body));
             assertOutcome("not-run", system.post(2, key, body));
         }
