--- a/review/standin-3/Poison.java
+++ b/review/standin-3/Poison.java
@@ -13,21 +13,20 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** One part of a prompt crashes each server that has begun to write an answer on it. */
+/** One request, which comes again and again, crashes each server that has begun to run it. */
 final class Poison {
     private static final long STABILITY_WINDOW_MILLIS = 3_000;
     private static final int MAX_LATE_REQUESTS = 3;
-    private static final int LAST_CRASH_BEFORE_BOUND = 5;
+    private static final int LAST_CRASH_BEFORE_BOUND = 3;
 
     private static final String KEY = "key-1";
-    private static final String CRASHING_PART = "bad0c0de";
+    private static final String CRASHING_BODY = "evil";
+    private static final String SOUND_BODY = "fine";
     private static final int EVENTS = 24;
     private static final long DOWN_MILLIS = 3_000;
 
-    /** 18 requests a second, of which three in a hundred have the crashing part for 20 s. */
     private static final long REQUEST_INTERVAL_MILLIS = 55;
-
-    private static final int CRASHING_ONE_IN = 33;
+    private static final long CRASHING_INTERVAL_MILLIS = 4_000;
     private static final long CRASHING_FROM_MILLIS = 2_000;
     private static final long CRASHING_FOR_MILLIS = 20_000;
     private static final long LENGTH_MILLIS = 24_000;
@@ -72,15 +71,15 @@
     }
 
     private boolean advise(Backend server, Http.Message request, Socket connection, OutputStream out) throws Exception {
-        String parts = request.field("X-Prompt-Prefix");
         String after = request.field("Last-Event-Id");
-        boolean isCrashing = parts.contains(CRASHING_PART);
+        boolean isCrashing =
+                hasTrouble && new String(request.body(), StandardCharsets.US_ASCII).equals(CRASHING_BODY);
         if (isCrashing) {
             synchronized (crashMillis) {
                 reachedMillis.add(record.millis());
             }
             record.add(
-                    "request %s with the crashing part reaches %s, after event %s",
+                    "the crashing request reaches %2$s as attempt %1$s, after event %3$s",
                     request.field("X-Attempt-Id"), server.id(), after);
         }
         Backend.sleep(60);
@@ -113,7 +112,8 @@
         int id = nextId.getAndIncrement();
         String request = "POST /advice/1 HTTP/1.1\r\nHost: farm.example\r\nX-Attempt-Id: " + id
                 + "\r\nX-Deadline-Milliseconds: 7990\r\nX-Model: m\r\nX-Token-Counts: 700,96\r\nX-Prompt-Prefix: " + parts
-                + "\r\nAuthorization: Bearer " + KEY + "\r\nContent-Length: 4\r\n\r\nbody";
+                + "\r\nAuthorization: Bearer " + KEY + "\r\nContent-Length: 4\r\n\r\n"
+                + (isSound ? SOUND_BODY : CRASHING_BODY);
         String outcome;
         int events = 0;
         try (Socket socket = Http.connect(entry.callerAddress(), 1_000)) {
@@ -166,16 +166,18 @@
             }
         }
         long startMillis = record.millis();
+        long nextCrashingMillis = startMillis + CRASHING_FROM_MILLIS;
+        long endCrashingMillis = nextCrashingMillis + CRASHING_FOR_MILLIS;
+        int repeats = 0;
         for (int turn = 0; record.millis() < startMillis + LENGTH_MILLIS; turn++) {
             Entry entry = entries.get(turn % 2);
-            long elapsedMillis = record.millis() - startMillis - CRASHING_FROM_MILLIS;
-            boolean isCrashing = hasTrouble
-                    && turn % CRASHING_ONE_IN == 0
-                    && elapsedMillis >= 0
-                    && elapsedMillis < CRASHING_FOR_MILLIS;
-            String parts = "5c1e07a" + turn % 4 + ":40" + (isCrashing ? "," + CRASHING_PART + ":60" : "") + ","
-                    + Integer.toHexString(0x5000_0000 + turn) + ":600";
-            Http.thread(() -> ask(entry, parts, !isCrashing));
+            String parts = "5c1e07a" + turn % 4 + ":40," + Integer.toHexString(0x5000_0000 + turn) + ":600";
+            Http.thread(() -> ask(entry, parts, true));
+            if (record.millis() >= nextCrashingMillis && record.millis() < endCrashingMillis) {
+                nextCrashingMillis += CRASHING_INTERVAL_MILLIS;
+                Entry other = entries.get(repeats++ % 2);
+                Http.thread(() -> ask(other, "5c1e07a0:40,77777777:600", false));
+            }
             Backend.sleep(REQUEST_INTERVAL_MILLIS);
         }
         Backend.sleep(2_000);
@@ -197,7 +199,7 @@
             long boundMillis = crashMillis.get(LAST_CRASH_BEFORE_BOUND - 1) + STABILITY_WINDOW_MILLIS;
             long late = reachedMillis.stream().filter(each -> each > boundMillis).count();
             record.add(
-                    "BUDGET: %d requests with the crashing part reached servers later than %d ms after the fifth crash",
+                    "BUDGET: the crashing request reached servers %d times later than %d ms after its third crash",
                     late, STABILITY_WINDOW_MILLIS);
             return late > MAX_LATE_REQUESTS ? 1 : 0;
         }
