--- a/review/standin-3/Poison.java
+++ b/review/standin-3/Poison.java
@@ -25,7 +25,7 @@
     private static final int EVENTS = 24;
     private static final long DOWN_MILLIS = 3_000;
 
-    private static final long REQUEST_INTERVAL_MILLIS = 55;
+    private static final long REQUEST_INTERVAL_MILLIS = 26;
     private static final long CRASHING_INTERVAL_MILLIS = 4_000;
     private static final long CRASHING_FROM_MILLIS = 2_000;
     private static final long CRASHING_FOR_MILLIS = 20_000;
@@ -59,11 +59,17 @@
         System.exit(code);
     }
 
+    private static String route(String name, String path, boolean isResumable) {
+        return "{\"name\":\"" + name + "\",\"host\":\"farm.example\",\"path_prefix\":\"" + path
+                + "\",\"kind\":\"streaming\",\"timeout_ms\":8000,\"target_latency_ms\":500,\"priority\":1,"
+                + "\"service\":\"advice\",\"attempts\":" + (isResumable ? 2 : 1)
+                + ",\"public\":false,\"session_affinity\":true,\"resume_streams\":" + isResumable
+                + ",\"gap_aim_ms\":120}";
+    }
+
     private static String config() {
-        return "{\"version\":1000,\"routes\":["
-                + "{\"name\":\"r-1\",\"host\":\"farm.example\",\"path_prefix\":\"/advice/\",\"kind\":\"streaming\","
-                + "\"timeout_ms\":8000,\"target_latency_ms\":500,\"priority\":1,\"service\":\"advice\",\"attempts\":2,"
-                + "\"public\":false,\"session_affinity\":true,\"resume_streams\":true,\"gap_aim_ms\":120}],"
+        return "{\"version\":1000,\"routes\":[" + route("r-1", "/advice/", true) + "," + route("r-2", "/once/", false)
+                + "],"
                 + "\"services\":[{\"name\":\"advice\",\"health_path\":\"/health\",\"connection_limit\":248}],"
                 + "\"limits\":{\"header_bytes\":16384,\"body_bytes\":4194304,\"header_timeout_ms\":3000,"
                 + "\"idle_timeout_ms\":15000},"
@@ -108,9 +114,9 @@
         return true;
     }
 
-    private void ask(Entry entry, String parts, boolean isSound) {
+    private void ask(Entry entry, String path, String parts, boolean isSound) {
         int id = nextId.getAndIncrement();
-        String request = "POST /advice/1 HTTP/1.1\r\nHost: farm.example\r\nX-Attempt-Id: " + id
+        String request = "POST " + path + " HTTP/1.1\r\nHost: farm.example\r\nX-Attempt-Id: " + id
                 + "\r\nX-Deadline-Milliseconds: 7990\r\nX-Model: m\r\nX-Token-Counts: 700,96\r\nX-Prompt-Prefix: " + parts
                 + "\r\nAuthorization: Bearer " + KEY + "\r\nContent-Length: 4\r\n\r\n"
                 + (isSound ? SOUND_BODY : CRASHING_BODY);
@@ -141,7 +147,7 @@
         }
         record.add(
                 "%s request %d (%s) at %s: %s, %d events",
-                isSound ? "sound" : "crashing", id, parts, entry.callerAddress(), outcome, events);
+                isSound ? "sound" : "crashing", id, path, entry.callerAddress(), outcome, events);
     }
 
     private int play(Path directory) throws Exception {
@@ -172,11 +178,12 @@
         for (int turn = 0; record.millis() < startMillis + LENGTH_MILLIS; turn++) {
             Entry entry = entries.get(turn % 2);
             String parts = "5c1e07a" + turn % 4 + ":40," + Integer.toHexString(0x5000_0000 + turn) + ":600";
-            Http.thread(() -> ask(entry, parts, true));
+            String path = turn / 2 % 2 == 0 ? "/advice/1" : "/once/1";
+            Http.thread(() -> ask(entry, path, parts, true));
             if (record.millis() >= nextCrashingMillis && record.millis() < endCrashingMillis) {
                 nextCrashingMillis += CRASHING_INTERVAL_MILLIS;
                 Entry other = entries.get(repeats++ % 2);
-                Http.thread(() -> ask(other, "5c1e07a0:40,77777777:600", false));
+                Http.thread(() -> ask(other, "/advice/1", "5c1e07a0:40,77777777:600", false));
             }
             Backend.sleep(REQUEST_INTERVAL_MILLIS);
         }
